--- /dev/null
+++ b/programs/plantainctl/context.cpp
@@ -0,0 +1,119 @@
+#include "context.hpp"
+
+#include <plantainward/core/last_reason.hpp>
+#include <plantainward/platform/http_platform.hpp>
+
+#include <iostream>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace plantainctl
+{
+
+namespace json = boost::json;
+namespace platform = plantainward::platform;
+using core::error_kind;
+using platform::platform_end;
+
+namespace
+{
+
+constexpr core::millis timeout{3000};
+constexpr int status_ok = 200;
+
+std::optional<revision_in_force> from_platform(const core::address& where)
+{
+    boost::asio::io_context io;
+    platform::http_platform services(io, where, timeout);
+    platform::reply<platform::table_row> row;
+    services.read_row(std::string(intent::head_row),
+                      [&](const auto& reply) { row = reply; });
+    io.run_for(timeout);
+    if (row.end == platform_end::not_found)
+        return revision_in_force{};
+    if (row.end != platform_end::ok)
+        return core::fail(error_kind::platform_down,
+                          "the table service does not answer");
+    const auto head = intent::decode_head(row.value.value, row.value.version);
+    if (!head)
+        return std::nullopt;
+    platform::reply<std::string> body;
+    services.get_object(head->digest, [&](const auto& reply) { body = reply; });
+    io.restart();
+    io.run_for(timeout);
+    if (body.end != platform_end::ok)
+        return core::fail(error_kind::platform_down,
+                          "the object store does not answer");
+    auto files = intent::decode_bundle(body.value);
+    if (!files)
+        return std::nullopt;
+    return revision_in_force{*head, std::move(*files)};
+}
+
+std::optional<revision_in_force> from_proxy(const core::address& proxy)
+{
+    const auto answer = ask_proxy(proxy, {"GET", "/admin/revision", {}, {}});
+    if (!answer)
+        return std::nullopt;
+    revision_in_force made;
+    made.head.revision = answer->at("revision").to_number<std::uint64_t>();
+    made.head.digest = std::string(answer->at("digest").as_string());
+    made.head.author = std::string(answer->at("author").as_string());
+    if (made.head.revision == 0)
+        return made;
+    auto files = intent::decode_bundle(answer->at("body").as_string());
+    if (!files)
+        return std::nullopt;
+    made.files = std::move(*files);
+    return made;
+}
+
+} // namespace
+
+std::optional<json::value> ask_proxy(const core::address& proxy,
+                                     const http::request& message)
+{
+    const auto result = http::send_and_wait(proxy, message, timeout);
+    if (result.end != http::exchange_end::answered)
+        return core::fail(error_kind::unavailable, "proxy " +
+                                                       core::to_string(proxy) +
+                                                       " does not answer");
+    boost::system::error_code bad;
+    auto value = json::parse(result.body, bad);
+    if (bad)
+        return core::fail(error_kind::internal, "malformed answer of proxy " +
+                                                    core::to_string(proxy));
+    if (result.status != status_ok)
+        return core::fail(
+            error_kind::unavailable,
+            "proxy " + core::to_string(proxy) + ": " +
+                std::string(value.at("error").at("reason").as_string()));
+    return value;
+}
+
+std::optional<revision_in_force> read_in_force(const context& where)
+{
+    if (where.platform)
+    {
+        auto found = from_platform(*where.platform);
+        if (found)
+            return found;
+    }
+    for (const auto& proxy : where.proxies)
+        if (auto found = from_proxy(proxy))
+            return found;
+    if (!where.platform && where.proxies.empty())
+        return core::fail(error_kind::bad_setting,
+                          "--platform or --proxy must be given");
+    return std::nullopt;
+}
+
+void print(const json::value& what)
+{
+    std::cout << json::serialize(what) << '\n';
+}
+
+} // namespace plantainctl
--- /dev/null
+++ b/src/plantainward/core/time.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace plantainward::core
+{
+
+/// Clock of every decision: monotonic, never set back.
+using steady = std::chrono::steady_clock;
+
+/// An instant on this process's monotonic clock.
+using instant = steady::time_point;
+
+/// Durations of policies, in milliseconds.
+using millis = std::chrono::milliseconds;
+
+/// Whole milliseconds of a duration, for reports.
+template <class Duration>
+std::int64_t to_ms(Duration duration)
+{
+    return std::chrono::duration_cast<millis>(duration).count();
+}
+
+/// Milliseconds with a fraction, for reports.
+template <class Duration>
+double to_ms_exact(Duration duration)
+{
+    return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+} // namespace plantainward::core
--- /dev/null
+++ b/src/plantainward/daemon/forwarding.cpp
@@ -0,0 +1,98 @@
+#include <plantainward/daemon/forwarding.hpp>
+
+#include <utility>
+
+namespace plantainward::daemon
+{
+
+using coordinator::caller_reply;
+using coordinator::request_kind;
+using core::error_kind;
+using peer::call_end;
+
+forwarding::forwarding(const coordinator::caller_request& request,
+                       std::vector<core::host> ranked,
+                       std::optional<core::host> owner, core::instant deadline)
+    : m_kind(request.kind), m_has_id(!request.id.empty()),
+      m_is_read(coordinator::is_read_only(request)),
+      m_ranked(std::move(ranked)), m_owner(std::move(owner)),
+      m_deadline(deadline)
+{
+}
+
+forward_step forwarding::give_up(error_kind kind, std::string reason) const
+{
+    if (m_maybe_ran)
+        kind = error_kind::outcome_unknown;
+    return {std::nullopt, coordinator::failure(kind, std::move(reason))};
+}
+
+forward_step forwarding::start(core::instant now)
+{
+    const bool has_transaction =
+        m_kind != request_kind::one_shot && m_kind != request_kind::begin;
+    if (!has_transaction)
+        return try_next(now, "no live coordinator");
+    if (!m_owner)
+        return after_owner(call_end::not_sent, now);
+    m_at_owner = true;
+    return {m_owner, {}};
+}
+
+forward_step forwarding::after_owner(call_end end, core::instant now)
+{
+    m_at_owner = false;
+    const bool was_sent = end == call_end::lost;
+    if (m_kind == request_kind::commit && m_has_id)
+    {
+        // Any coordinator can settle a commit by its id.
+        m_maybe_ran = was_sent;
+        return try_next(now, "the transaction's coordinator is gone");
+    }
+    m_maybe_ran = was_sent && m_kind != request_kind::rollback;
+    return give_up(error_kind::transaction_lost,
+                   "the transaction's coordinator is gone");
+}
+
+forward_step forwarding::try_next(core::instant now, std::string reason)
+{
+    if (now >= m_deadline)
+        return give_up(error_kind::deadline_passed, std::move(reason));
+    if (m_ranked.empty() || m_attempts >= max_attempts)
+        return give_up(error_kind::unavailable, std::move(reason));
+    const auto& to = m_ranked[m_attempts % m_ranked.size()];
+    ++m_attempts;
+    return {to, {}};
+}
+
+forward_step forwarding::next(call_end end, caller_reply reply,
+                              core::instant now)
+{
+    if (end == call_end::answered && reply.error == error_kind::draining)
+        return try_next(now, reply.reason);
+    if (end == call_end::answered)
+    {
+        const bool is_refusal =
+            reply.error &&
+            core::answer_for(*reply.error).ran == core::effect::not_run;
+        const bool settles = reply.error == error_kind::id_voided ||
+                             reply.error == error_kind::transaction_lost;
+        // An earlier copy may still have run, whatever became of this one.
+        if (m_maybe_ran && is_refusal && !settles)
+            return give_up(error_kind::outcome_unknown, reply.reason);
+        return {std::nullopt, std::move(reply)};
+    }
+    if (m_at_owner)
+        return after_owner(end, now);
+    if (end == call_end::not_sent)
+        return try_next(now, "no coordinator could be reached");
+    const bool may_repeat =
+        m_is_read || m_has_id || m_kind == request_kind::begin;
+    m_maybe_ran = m_maybe_ran || (!m_is_read && m_kind != request_kind::begin);
+    if (!may_repeat)
+        return give_up(error_kind::outcome_unknown,
+                       "the coordinator was lost and the request has no id");
+    return try_next(now, "the coordinator was lost");
+}
+
+} // namespace plantainward::daemon
--- /dev/null
+++ b/src/plantainward/daemon/gateway.cpp
@@ -0,0 +1,178 @@
+#include <plantainward/daemon/gateway.hpp>
+
+#include <plantainward/coordinator/transaction_table.hpp>
+#include <plantainward/core/last_reason.hpp>
+#include <plantainward/peer/payload.hpp>
+
+#include <utility>
+
+namespace plantainward::daemon
+{
+
+using core::error_kind;
+
+namespace
+{
+
+/// Time beyond the deadline for the coordinator's own answer to arrive.
+constexpr core::millis answer_slack{200};
+
+/// The host of an instance: its name before the incarnation.
+std::string host_of(const std::string& instance)
+{
+    return instance.substr(0, instance.rfind('.'));
+}
+
+} // namespace
+
+/// One caller's request on its way.
+struct gateway::exchange
+{
+    api_call call;
+    std::string trace;
+    http::responder respond;
+    core::instant deadline;
+    forwarding forward;
+};
+
+gateway::gateway(service_directory& services, peer::peer_client& peers,
+                 observers seen, session::token_codec tokens, api_limits limits,
+                 std::string instance)
+    : m_services(services), m_peers(peers), m_seen(seen),
+      m_tokens(std::move(tokens)), m_limits(limits),
+      m_instance(std::move(instance)), m_host(host_of(m_instance))
+{
+}
+
+std::string gateway::next_trace()
+{
+    return m_instance + "-" + std::to_string(++m_last_trace);
+}
+
+bool gateway::is_ready() const
+{
+    return !m_draining && !m_services.routes()->routes().empty();
+}
+
+http::response gateway::health() const
+{
+    http::response made;
+    made.body = R"({"status":"alive"})";
+    return made;
+}
+
+http::response gateway::readiness() const
+{
+    http::response made;
+    made.status = is_ready() ? 200 : 503;
+    made.body = is_ready()   ? R"({"status":"ready"})"
+                : m_draining ? R"({"status":"leaving"})"
+                             : R"({"status":"no configuration"})";
+    return made;
+}
+
+void gateway::handle(http::request message, http::responder respond)
+{
+    if (message.target == "/v1/health")
+        return respond(health());
+    if (message.target == "/v1/ready")
+        return respond(readiness());
+    auto trace = next_trace();
+    auto call = decode_call(message, m_limits, m_tokens);
+    if (!call)
+    {
+        const auto& why = core::last_reason();
+        m_seen.numbers.count("errors", core::name_of(why.kind));
+        return respond(encode_error(why.kind, why.text, trace));
+    }
+    start(std::move(*call), std::move(trace), std::move(respond));
+}
+
+void gateway::start(api_call call, std::string trace, http::responder respond)
+{
+    const auto now = core::steady::now();
+    const auto routes = m_services.routes();
+    auto& request = call.request;
+    const auto* route = routes->find(request.service);
+    if (route == nullptr || request.slot >= route->intent.layout.slots)
+        return respond(encode_error(error_kind::not_found,
+                                    "no such service or slot", trace));
+    if (request.need == coordinator::freshness::max_age)
+        request.max_age = std::min(request.max_age, route->intent.max_age);
+    request.trace = trace;
+    std::optional<core::host> owner;
+    if (const auto parts = coordinator::parse_handle(request.transaction))
+        if (const auto* host = routes->host_named(host_of(parts->instance)))
+            owner = *host;
+    const auto deadline = now + request.time_left;
+    forwarding forward(request, route->ranked, owner, deadline);
+    auto one = std::make_shared<exchange>(
+        exchange{std::move(call), std::move(trace), std::move(respond),
+                 deadline, std::move(forward)});
+    take_step(one, one->forward.start(now));
+}
+
+void gateway::take_step(const std::shared_ptr<exchange>& one, forward_step step)
+{
+    if (!step.to)
+        return finish(*one, std::move(step.reply));
+    send_to(one, *step.to);
+}
+
+void gateway::send_to(const std::shared_ptr<exchange>& one,
+                      const core::host& host)
+{
+    auto request = one->call.request;
+    const auto left = std::chrono::duration_cast<core::millis>(
+        one->deadline - core::steady::now());
+    request.time_left = std::max(left, core::millis(1));
+    const auto on_reply =
+        [this, one](peer::call_end end, coordinator::caller_reply reply)
+    {
+        take_step(
+            one, one->forward.next(end, std::move(reply), core::steady::now()));
+    };
+    if (host.name == m_host)
+        return serve_peer(
+            std::move(request), [on_reply](coordinator::caller_reply reply)
+            { on_reply(peer::call_end::answered, std::move(reply)); });
+    const auto timeout = request.time_left + answer_slack;
+    m_peers.call(host.peer, peer::frame_kind::request, peer::encode(request),
+                 timeout,
+                 [on_reply](peer::call_end end, const peer::frame& answer)
+                 {
+                     if (end != peer::call_end::answered)
+                         return on_reply(end, {});
+                     auto reply = peer::decode_reply(answer.payload);
+                     if (!reply)
+                         return on_reply(peer::call_end::lost, {});
+                     on_reply(end, std::move(*reply));
+                 });
+}
+
+void gateway::serve_peer(coordinator::caller_request request,
+                         reply_handler handler)
+{
+    const auto coordinator = m_services.coordinator_of(request.service);
+    if (!coordinator)
+        return handler(coordinator::failure(
+            error_kind::draining, "the service is not known here yet"));
+    coordinator->submit(std::move(request), std::move(handler));
+}
+
+void gateway::finish(exchange& one, coordinator::caller_reply reply) const
+{
+    const auto& request = one.call.request;
+    std::string session_text;
+    if (!reply.error)
+    {
+        auto& session = one.call.session;
+        session.merge({request.service, request.slot},
+                      {reply.seen.term, reply.seen.position});
+        session_text = m_tokens.encode(session);
+    }
+    auto response = encode_reply(reply, one.trace, session_text);
+    one.respond(std::move(response));
+}
+
+} // namespace plantainward::daemon
--- /dev/null
+++ b/src/plantainward/daemon/monitor_shell.hpp
@@ -0,0 +1,136 @@
+#pragma once
+
+#include <plantainward/core/time.hpp>
+#include <plantainward/daemon/coordinator_shell.hpp>
+#include <plantainward/failover/failover_monitor.hpp>
+#include <plantainward/upstream/gate.hpp>
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace plantainward::daemon
+{
+
+/// Sends an opinion to the other watchers of its service.
+using opinion_sender = std::function<void(const failover::opinion&)>;
+
+/// Told of each status that a probe brought.
+using status_handler = std::function<void(
+    std::size_t, const upstream::database_status&, core::instant)>;
+
+/// Runs one service's failover monitor: its lock, clock and input/output.
+template <upstream::gate Gate>
+class monitor_shell : public std::enable_shared_from_this<monitor_shell<Gate>>
+{
+public:
+    monitor_shell(Gate& gate, observers seen, upstream::service_layout layout,
+                  failover::failover_options options, opinion_sender on_opinion,
+                  status_handler on_status)
+        : m_gate(gate), m_seen(seen), m_on_opinion(std::move(on_opinion)),
+          m_on_status(std::move(on_status)), m_databases(layout.databases),
+          m_monitor(std::move(layout), std::move(options), core::steady::now())
+    {
+    }
+
+    void tick()
+    {
+        drive([](auto& monitor)
+              { return monitor.on_tick(core::steady::now()); });
+    }
+
+    void hint(std::size_t database)
+    {
+        drive([&](auto& monitor)
+              { return monitor.on_hint(database, core::steady::now()); });
+    }
+
+    void take_opinion(const std::string& watcher, const failover::opinion& what)
+    {
+        drive(
+            [&](auto& monitor)
+            { return monitor.on_opinion(watcher, what, core::steady::now()); });
+    }
+
+    void set_watchers(std::vector<std::string> ranked, const std::string& self)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_monitor.set_watchers(std::move(ranked), self);
+    }
+
+    void set_layout(const upstream::service_layout& layout)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_monitor.set_layout(layout, core::steady::now());
+    }
+
+private:
+    template <class Event>
+    void drive(Event event)
+    {
+        failover::actions todo;
+        {
+            const std::lock_guard lock(m_mutex);
+            todo = event(m_monitor);
+        }
+        for (const auto& one : todo)
+            std::visit([this](const auto& action) { carry_out(action); }, one);
+    }
+
+    void carry_out(const failover::probe_action& action)
+    {
+        m_gate.control(
+            m_databases[action.database].where, {}, action.timeout,
+            [self = this->shared_from_this(), database = action.database,
+             sent = core::steady::now()](const upstream::control_result& result)
+            {
+                self->drive(
+                    [&](auto& monitor) {
+                        return monitor.on_probe(database, result,
+                                                core::steady::now());
+                    });
+                self->m_on_status(database, result.status, sent);
+            });
+    }
+
+    void carry_out(const failover::control_action& action)
+    {
+        m_gate.control(
+            m_databases[action.database].where, action.order, action.timeout,
+            [self = this->shared_from_this(), database = action.database,
+             claim = action.claim,
+             sent = core::steady::now()](const upstream::control_result& result)
+            {
+                self->drive(
+                    [&](auto& monitor) {
+                        return monitor.on_control(database, claim, result,
+                                                  core::steady::now());
+                    });
+                self->m_on_status(database, result.status, sent);
+            });
+    }
+
+    void carry_out(const failover::opinion_action& action)
+    {
+        m_on_opinion(action.what);
+    }
+
+    void carry_out(const failover::note_action& action)
+    {
+        m_seen.record(action.what);
+    }
+
+    Gate& m_gate;
+    observers m_seen;
+    opinion_sender m_on_opinion;
+    status_handler m_on_status;
+    const std::vector<upstream::database_layout> m_databases;
+    std::mutex m_mutex;
+    failover::failover_monitor m_monitor;
+};
+
+} // namespace plantainward::daemon
--- /dev/null
+++ b/src/plantainward/daemon/routing_table.cpp
@@ -0,0 +1,40 @@
+#include <plantainward/daemon/routing_table.hpp>
+
+#include <plantainward/core/rendezvous.hpp>
+
+#include <algorithm>
+
+namespace plantainward::daemon
+{
+
+std::vector<core::host> service_route::watchers() const
+{
+    auto first = ranked;
+    first.resize(std::min(first.size(), watchers_per_service));
+    return first;
+}
+
+routing_table::routing_table(const intent::routing_intent& intent,
+                             const std::vector<core::host>& live)
+{
+    for (const auto& one : live)
+        m_hosts[one.name] = one;
+    for (const auto& service : intent.services)
+        m_routes[service.layout.name] = {
+            service,
+            core::rank_hosts(service.layout.name, live, watchers_per_service)};
+}
+
+const service_route* routing_table::find(const std::string& service) const
+{
+    const auto found = m_routes.find(service);
+    return found == m_routes.end() ? nullptr : &found->second;
+}
+
+const core::host* routing_table::host_named(const std::string& name) const
+{
+    const auto found = m_hosts.find(name);
+    return found == m_hosts.end() ? nullptr : &found->second;
+}
+
+} // namespace plantainward::daemon
--- /dev/null
+++ b/src/plantainward/daemon/service_directory.hpp
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <plantainward/daemon/coordinator_shell.hpp>
+#include <plantainward/daemon/monitor_shell.hpp>
+#include <plantainward/daemon/routing_table.hpp>
+#include <plantainward/settings/settings.hpp>
+#include <plantainward/upstream/http_gate.hpp>
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace plantainward::daemon
+{
+
+/// Sends an opinion to hosts.
+using opinion_broadcast = std::function<void(const std::vector<core::host>&,
+                                             const failover::opinion&)>;
+
+/// The coordinators and monitors that run on this host, by service.
+///
+/// What runs here follows from the routing table; a coordinator also starts
+/// when a request for its service arrives.
+class service_directory
+{
+public:
+    using coordinator_ptr =
+        std::shared_ptr<coordinator_shell<upstream::http_gate>>;
+    using monitor_ptr = std::shared_ptr<monitor_shell<upstream::http_gate>>;
+
+    service_directory(upstream::http_gate& gate, observers seen,
+                      const settings::settings& options, std::string instance,
+                      std::string secret, opinion_broadcast broadcast);
+
+    /// Takes new routes: starts, changes and stops what runs here.
+    void set_routes(std::shared_ptr<const routing_table> routes);
+
+    /// The routes in force.
+    std::shared_ptr<const routing_table> routes() const;
+
+    /// Marks upstreams that the platform lists as leaving.
+    void set_leaving(std::set<core::address> leaving);
+
+    /// The coordinator of a service, started when there is none; null when
+    /// the service is not known.
+    coordinator_ptr coordinator_of(const std::string& service);
+
+    /// The monitor of a service, or null.
+    monitor_ptr monitor_of(const std::string& service) const;
+
+    /// All coordinators that run here, by service.
+    std::map<std::string, coordinator_ptr> coordinators() const;
+
+    void tick();
+    void start_drain();
+    bool is_busy() const;
+
+private:
+    using lock_type = std::lock_guard<std::mutex>;
+
+    upstream::service_layout effective_layout(const service_route& route) const;
+    coordinator_ptr make_coordinator(const service_route& route);
+    monitor_ptr make_monitor(const service_route& route);
+    double share_of(const service_route& route) const;
+    void update_service(const service_route& route);
+    void apply_routes();
+
+    upstream::http_gate& m_gate;
+    observers m_seen;
+    const settings::settings& m_options;
+    std::string m_instance;
+    std::string m_host;
+    std::string m_secret;
+    opinion_broadcast m_broadcast;
+    mutable std::mutex m_mutex;
+    std::shared_ptr<const routing_table> m_routes{
+        std::make_shared<const routing_table>()};
+    std::set<core::address> m_leaving;
+    std::map<std::string, coordinator_ptr> m_coordinators;
+    std::map<std::string, monitor_ptr> m_monitors;
+    /// Coordinators of a former layout that still finish their requests.
+    std::vector<coordinator_ptr> m_retiring;
+    upstream::connection_number m_next_block{1};
+    bool m_draining{false};
+};
+
+} // namespace plantainward::daemon
--- /dev/null
+++ b/src/plantainward/http/client.cpp
@@ -0,0 +1,276 @@
+#include <plantainward/http/client.hpp>
+
+#include <deque>
+#include <map>
+#include <mutex>
+#include <utility>
+
+#include <boost/asio/strand.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace plantainward::http
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace beast_http = boost::beast::http;
+using boost::system::error_code;
+
+constexpr std::size_t max_answer_bytes = 64U * 1024U * 1024U;
+constexpr std::size_t max_kept_per_server = 8;
+
+class tcp_client_connection final : public client_connection
+{
+public:
+    tcp_client_connection(asio::io_context& io, const core::address& where)
+        : m_stream(asio::make_strand(io)), m_where(where)
+    {
+    }
+
+    void open(core::millis timeout, std::function<void(bool)> handler) override
+    {
+        asio::dispatch(m_stream.get_executor(),
+                       [this, self = shared_from_this(), timeout,
+                        handler = std::move(handler)]() mutable
+                       { start_open(timeout, std::move(handler)); });
+    }
+
+    void exchange(request message, core::millis timeout,
+                  exchange_handler handler) override
+    {
+        asio::dispatch(
+            m_stream.get_executor(),
+            [this, self = shared_from_this(), message = std::move(message),
+             timeout, handler = std::move(handler)]() mutable {
+                start_exchange(std::move(message), timeout, std::move(handler));
+            });
+    }
+
+    void close() override
+    {
+        asio::dispatch(m_stream.get_executor(),
+                       [this, self = shared_from_this()] { shut(); });
+    }
+
+private:
+    void start_open(core::millis timeout, std::function<void(bool)> handler)
+    {
+        error_code bad_address;
+        const auto ip = asio::ip::make_address(m_where.ip, bad_address);
+        if (bad_address)
+            return handler(false);
+        m_stream.expires_after(timeout);
+        m_stream.async_connect(asio::ip::tcp::endpoint(ip, m_where.port),
+                               [this, self = shared_from_this(),
+                                handler = std::move(handler)](error_code error)
+                               {
+                                   if (!error)
+                                   {
+                                       error_code ignored;
+                                       m_stream.socket().set_option(
+                                           asio::ip::tcp::no_delay(true),
+                                           ignored);
+                                   }
+                                   m_open = !error;
+                                   handler(m_open);
+                               });
+    }
+
+    void start_exchange(request message, core::millis timeout,
+                        exchange_handler handler)
+    {
+        if (!m_open)
+            return handler({exchange_end::not_sent, 0, {}});
+        m_handler = std::move(handler);
+        m_request = {};
+        m_request.version(11);
+        m_request.method_string(message.method);
+        m_request.target(message.target);
+        m_request.set(beast_http::field::host, m_where.ip);
+        for (const auto& [name, value] : message.fields)
+            m_request.set(name, value);
+        m_request.body() = std::move(message.body);
+        m_request.prepare_payload();
+        m_stream.expires_after(timeout);
+        beast_http::async_write(
+            m_stream, m_request,
+            [this, self = shared_from_this()](error_code error, std::size_t n)
+            { on_written(error, n); });
+    }
+
+    void on_written(error_code error, std::size_t written)
+    {
+        if (error)
+            return finish_failed(error, written > 0);
+        m_parser.emplace();
+        m_parser->body_limit(max_answer_bytes);
+        beast_http::async_read(m_stream, m_buffer, *m_parser,
+                               [this, self = shared_from_this()](
+                                   error_code read_error, std::size_t)
+                               { on_read(read_error); });
+    }
+
+    void on_read(error_code error)
+    {
+        if (error)
+            return finish_failed(error, true);
+        auto message = m_parser->release();
+        if (!message.keep_alive())
+            shut();
+        else
+            m_stream.expires_never();
+        finish({exchange_end::answered, static_cast<int>(message.result_int()),
+                std::move(message.body())});
+    }
+
+    void finish_failed(error_code error, bool may_have_arrived)
+    {
+        shut();
+        if (error == beast::error::timeout)
+            return finish({exchange_end::timed_out, 0, {}});
+        finish({may_have_arrived ? exchange_end::lost : exchange_end::not_sent,
+                0,
+                {}});
+    }
+
+    void finish(exchange_result result)
+    {
+        if (auto handler = std::exchange(m_handler, {}))
+            handler(std::move(result));
+    }
+
+    void shut()
+    {
+        m_open = false;
+        error_code ignored;
+        m_stream.socket().close(ignored);
+    }
+
+    beast::tcp_stream m_stream;
+    core::address m_where;
+    beast_http::request<beast_http::string_body> m_request;
+    std::optional<beast_http::response_parser<beast_http::string_body>>
+        m_parser;
+    beast::flat_buffer m_buffer;
+    exchange_handler m_handler;
+    bool m_open{false};
+};
+
+class keeping_client final : public client
+{
+public:
+    explicit keeping_client(asio::io_context& io) : m_io(io) {}
+
+    void send(const core::address& where, request message, core::millis timeout,
+              exchange_handler handler) override
+    {
+        if (auto kept = take(where))
+            return start(where, std::move(kept), std::move(message), timeout,
+                         std::move(handler), true);
+        connect(where, std::move(message), timeout, std::move(handler));
+    }
+
+private:
+    using connection = std::shared_ptr<client_connection>;
+
+    connection take(const core::address& where)
+    {
+        const std::lock_guard lock(m_mutex);
+        auto& kept = m_kept[where];
+        if (kept.empty())
+            return {};
+        auto one = std::move(kept.back());
+        kept.pop_back();
+        return one;
+    }
+
+    void keep(const core::address& where, connection one)
+    {
+        const std::lock_guard lock(m_mutex);
+        auto& kept = m_kept[where];
+        if (kept.size() < max_kept_per_server)
+            return kept.push_back(std::move(one));
+        one->close();
+    }
+
+    void connect(const core::address& where, request message,
+                 core::millis timeout, exchange_handler handler)
+    {
+        auto made = client_connection::create(m_io, where);
+        made->open(timeout,
+                   [this, self = shared_from_this(), made, where,
+                    message = std::move(message), timeout,
+                    handler = std::move(handler)](bool ok) mutable
+                   {
+                       if (!ok)
+                           return handler({exchange_end::not_sent, 0, {}});
+                       start(where, made, std::move(message), timeout,
+                             std::move(handler), false);
+                   });
+    }
+
+    // A kept connection may have been closed by the server meanwhile; nothing
+    // was sent then and a new connection is tried once.
+    void start(const core::address& where, connection one, request message,
+               core::millis timeout, exchange_handler handler, bool kept)
+    {
+        auto copy = kept ? std::optional(message) : std::nullopt;
+        auto* raw = one.get();
+        raw->exchange(
+            std::move(message), timeout,
+            [this, self = shared_from_this(), where, one = std::move(one),
+             copy = std::move(copy), timeout,
+             handler = std::move(handler)](exchange_result result) mutable
+            {
+                if (result.end == exchange_end::not_sent && copy)
+                    return connect(where, std::move(*copy), timeout,
+                                   std::move(handler));
+                if (result.end == exchange_end::answered)
+                    keep(where, std::move(one));
+                handler(std::move(result));
+            });
+    }
+
+    asio::io_context& m_io;
+    std::mutex m_mutex;
+    std::map<core::address, std::vector<connection>> m_kept;
+};
+
+} // namespace
+
+std::shared_ptr<client_connection>
+client_connection::create(asio::io_context& io, const core::address& where)
+{
+    return std::make_shared<tcp_client_connection>(io, where);
+}
+
+std::shared_ptr<client> client::create(asio::io_context& io)
+{
+    return std::make_shared<keeping_client>(io);
+}
+
+exchange_result send_and_wait(const core::address& where, request message,
+                              core::millis timeout)
+{
+    asio::io_context io;
+    exchange_result end;
+    const auto sender = client::create(io);
+    sender->send(where, std::move(message), timeout,
+                 [&](exchange_result result)
+                 {
+                     end = std::move(result);
+                     io.stop();
+                 });
+    io.run();
+    return end;
+}
+
+} // namespace plantainward::http
--- /dev/null
+++ b/src/plantainward/http/client.hpp
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <plantainward/core/host.hpp>
+#include <plantainward/core/time.hpp>
+#include <plantainward/http/message.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+
+namespace plantainward::http
+{
+
+/// How an exchange with a server ended.
+enum class exchange_end : std::uint8_t
+{
+    answered,
+    /// No byte of the request left this process.
+    not_sent,
+    /// The request may have reached the server; no whole answer came.
+    lost,
+    /// As `lost`, because the time ran out.
+    timed_out
+};
+
+/// The end of an exchange, with the answer when there is one.
+struct exchange_result
+{
+    exchange_end end{exchange_end::not_sent};
+    int status{0};
+    std::string body;
+};
+
+/// Receives the end of one exchange.
+using exchange_handler = std::function<void(exchange_result)>;
+
+/// One connection to a server, with one exchange at a time.
+///
+/// A connection that loses or times out an exchange is closed for good, so a
+/// late answer can never be taken for the answer to a later request.
+class client_connection : public std::enable_shared_from_this<client_connection>
+{
+public:
+    /// Makes a connection object; nothing is sent until `open`.
+    static std::shared_ptr<client_connection>
+    create(boost::asio::io_context& io, const core::address& where);
+
+    virtual ~client_connection() = default;
+
+    /// Connects; the handler gets whether it worked.
+    virtual void open(core::millis timeout,
+                      std::function<void(bool)> handler) = 0;
+
+    /// Sends one request and waits for its answer.
+    virtual void exchange(request message, core::millis timeout,
+                          exchange_handler handler) = 0;
+
+    /// Closes the connection; a running exchange ends as lost.
+    virtual void close() = 0;
+};
+
+/// Sends requests to any server over a bounded set of kept connections.
+class client : public std::enable_shared_from_this<client>
+{
+public:
+    static std::shared_ptr<client> create(boost::asio::io_context& io);
+
+    virtual ~client() = default;
+
+    /// Sends one request over a kept or a new connection.
+    virtual void send(const core::address& where, request message,
+                      core::millis timeout, exchange_handler handler) = 0;
+};
+
+/// Sends one request and blocks until its end; for command-line programs.
+exchange_result send_and_wait(const core::address& where, request message,
+                              core::millis timeout);
+
+} // namespace plantainward::http
--- /dev/null
+++ b/src/plantainward/intent/head.cpp
@@ -0,0 +1,39 @@
+#include <plantainward/intent/head.hpp>
+
+#include <plantainward/core/last_reason.hpp>
+
+#include <exception>
+
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace plantainward::intent
+{
+
+namespace json = boost::json;
+
+std::string encode(const head& one)
+{
+    return json::serialize(json::object{{"digest", one.digest},
+                                        {"writer", one.writer},
+                                        {"author", one.author}});
+}
+
+std::optional<head> decode_head(std::string_view value, std::uint64_t version)
+{
+    try
+    {
+        const auto from = json::parse({value.data(), value.size()});
+        return head{version, std::string(from.at("digest").as_string()),
+                    std::string(from.at("writer").as_string()),
+                    std::string(from.at("author").as_string())};
+    }
+    catch (const std::exception& error)
+    {
+        return core::fail(core::error_kind::platform_down,
+                          std::string("malformed head row: ") + error.what());
+    }
+}
+
+} // namespace plantainward::intent
--- /dev/null
+++ b/src/plantainward/membership/message.hpp
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <plantainward/core/host.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace plantainward::membership
+{
+
+/// What a host is believed to be.
+enum class member_state : std::uint8_t
+{
+    alive,
+    suspected,
+    left,
+    dead
+};
+
+/// News about one host.
+struct update
+{
+    core::host who;
+    /// Grows with each start of the host and each refuted suspicion.
+    std::uint64_t incarnation{0};
+    member_state state{member_state::alive};
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(who, incarnation, state);
+    }
+};
+
+/// Purpose of a datagram.
+enum class message_kind : std::uint8_t
+{
+    ping,
+    ack,
+    /// Asks the receiver to ping a third host.
+    ping_request,
+    /// Carries an application payload and needs no ack.
+    notice
+};
+
+/// One datagram between two proxies.
+struct message
+{
+    message_kind kind{message_kind::ping};
+    std::uint64_t sequence{0};
+    update sender;
+    /// Host to ping, for `ping_request`.
+    core::host target;
+    /// Revision of the configuration that the sender has in force.
+    std::uint64_t revision{0};
+    std::vector<update> news;
+    /// Payload of a `notice`.
+    std::string payload;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(kind, sequence, sender, target, revision, news, payload);
+    }
+};
+
+/// Largest datagram that is sent or accepted, in bytes.
+inline constexpr std::size_t max_datagram = 1400;
+
+/// Writes and reads datagrams, authenticated by a key.
+class message_codec
+{
+public:
+    explicit message_codec(std::string key) : m_key(std::move(key)) {}
+
+    std::string encode(const message& one) const;
+
+    /// Empty optional when of another version, oversize, damaged or forged.
+    std::optional<message> decode(std::string_view bytes) const;
+
+private:
+    std::string m_key;
+};
+
+} // namespace plantainward::membership
--- /dev/null
+++ b/src/plantainward/peer/frame.cpp
@@ -0,0 +1,48 @@
+#include <plantainward/peer/frame.hpp>
+
+#include <plantainward/core/last_reason.hpp>
+#include <plantainward/peer/internal/archive.hpp>
+
+#include <cereal/types/string.hpp>
+
+namespace plantainward::peer
+{
+
+namespace
+{
+
+constexpr char version = 1;
+
+} // namespace
+
+std::string encode(const frame& one)
+{
+    const auto body = internal::to_bytes(one);
+    std::string bytes;
+    bytes.reserve(frame_header_bytes + body.size());
+    for (unsigned shift = 0; shift < 32; shift += 8)
+        bytes += static_cast<char>((body.size() >> shift) & 0xFFU);
+    bytes += version;
+    bytes += body;
+    return bytes;
+}
+
+std::optional<std::size_t> decode_header(std::string_view header)
+{
+    std::size_t length = 0;
+    for (unsigned i = 0; i < 4; ++i)
+        length |=
+            static_cast<std::size_t>(static_cast<unsigned char>(header[i]))
+            << (8 * i);
+    if (header[4] != version || length > max_frame)
+        return core::fail(core::error_kind::bad_request,
+                          "frame of another version or too long");
+    return length;
+}
+
+std::optional<frame> decode_body(std::string_view body)
+{
+    return internal::from_bytes<frame>(body);
+}
+
+} // namespace plantainward::peer
--- /dev/null
+++ b/src/plantainward/platform/http_platform.cpp
@@ -0,0 +1,105 @@
+#include <plantainward/platform/http_platform.hpp>
+
+#include <plantainward/platform/wire.hpp>
+
+#include <utility>
+
+namespace plantainward::platform
+{
+
+namespace
+{
+
+constexpr int status_ok = 200;
+constexpr int status_not_found = 404;
+constexpr int status_conflict = 409;
+
+platform_end end_of(const http::exchange_result& result)
+{
+    if (result.end == http::exchange_end::not_sent)
+        return platform_end::down;
+    if (result.end != http::exchange_end::answered)
+        return platform_end::unknown;
+    if (result.status == status_ok)
+        return platform_end::ok;
+    if (result.status == status_not_found)
+        return platform_end::not_found;
+    return result.status == status_conflict ? platform_end::conflict
+                                            : platform_end::unknown;
+}
+
+/// Turns an exchange into a reply; a malformed body counts as unknown.
+template <class T, class Decoder>
+http::exchange_handler decode_with(reply_handler<T> handler, Decoder decode)
+{
+    return [handler = std::move(handler),
+            decode](const http::exchange_result& result)
+    {
+        reply<T> made{end_of(result), {}};
+        if (made.end == platform_end::ok)
+        {
+            if (auto value = decode(result.body))
+                made.value = std::move(*value);
+            else
+                made.end = platform_end::unknown;
+        }
+        handler(std::move(made));
+    };
+}
+
+std::optional<std::string> as_text(const std::string& body)
+{
+    return body;
+}
+
+} // namespace
+
+http_platform::http_platform(boost::asio::io_context& io, core::address where,
+                             core::millis timeout)
+    : m_where(std::move(where)), m_timeout(timeout),
+      m_client(http::client::create(io))
+{
+}
+
+void http_platform::read_row(const std::string& name,
+                             reply_handler<table_row> handler)
+{
+    m_client->send(
+        m_where, {"GET", "/table/" + name, {}, {}}, m_timeout,
+        decode_with<table_row>(std::move(handler), wire::decode_row));
+}
+
+void http_platform::compare_and_set(const std::string& name,
+                                    std::uint64_t expected,
+                                    const std::string& value,
+                                    reply_handler<table_row> handler)
+{
+    m_client->send(
+        m_where,
+        {"PUT", "/table/" + name, {}, wire::encode(table_row{value, expected})},
+        m_timeout,
+        decode_with<table_row>(std::move(handler), wire::decode_row));
+}
+
+void http_platform::put_object(const std::string& key, const std::string& body,
+                               reply_handler<std::string> handler)
+{
+    m_client->send(m_where, {"PUT", "/objects/" + key, {}, body}, m_timeout,
+                   decode_with<std::string>(std::move(handler), as_text));
+}
+
+void http_platform::get_object(const std::string& key,
+                               reply_handler<std::string> handler)
+{
+    m_client->send(m_where, {"GET", "/objects/" + key, {}, {}}, m_timeout,
+                   decode_with<std::string>(std::move(handler), as_text));
+}
+
+void http_platform::list_hosts(reply_handler<listed_hosts> handler)
+{
+    m_client->send(
+        m_where, {"GET", "/hosts", {}, {}}, m_timeout,
+        decode_with<listed_hosts>(std::move(handler), wire::decode_hosts));
+}
+
+} // namespace plantainward::platform
--- /dev/null
+++ b/src/plantainward/platform/object_store.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <plantainward/platform/reply.hpp>
+
+#include <concepts>
+#include <string>
+
+namespace plantainward::platform
+{
+
+/// The platform's object store; objects are written once under their digest.
+template <class T>
+concept object_store = requires(T& t, const std::string& key,
+                                const std::string& body,
+                                reply_handler<std::string> handler)
+{
+    t.put_object(key, body, handler);
+    t.get_object(key, handler);
+};
+
+} // namespace plantainward::platform
--- /dev/null
+++ b/src/plantainward/settings/settings.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <plantainward/core/host.hpp>
+#include <plantainward/core/time.hpp>
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace plantainward::settings
+{
+
+/// Looks up an environment variable; empty optional when it is not set.
+using environment =
+    std::function<std::optional<std::string>(const std::string&)>;
+
+/// The checked settings of a process.
+class settings
+{
+public:
+    /// Reads flags, then variables, then defaults; fails on the first fault.
+    static std::optional<settings> create(const std::vector<std::string>& flags,
+                                          const environment& variables);
+
+    const std::string& text(std::string_view name) const;
+    std::int64_t number(std::string_view name) const;
+    core::millis duration(std::string_view name) const;
+    core::address address(std::string_view name) const;
+
+    /// "name = value" lines; secrets are shown as set only.
+    std::string print() const;
+
+private:
+    std::map<std::string, std::string, std::less<>> m_values;
+};
+
+} // namespace plantainward::settings
--- /dev/null
+++ b/src/plantainward/upstream/gate.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <plantainward/core/host.hpp>
+#include <plantainward/core/time.hpp>
+#include <plantainward/upstream/control_order.hpp>
+#include <plantainward/upstream/run_order.hpp>
+
+#include <concepts>
+#include <cstdint>
+#include <functional>
+
+namespace plantainward::upstream
+{
+
+/// Identifies a connection that the proxy has opened or is opening.
+using connection_number = std::uint64_t;
+
+/// How opening a connection ended.
+enum class open_end : std::uint8_t
+{
+    opened,
+    /// The database is at its limit of connections.
+    refused_by_limit,
+    failed
+};
+
+using open_handler = std::function<void(open_end)>;
+using run_handler = std::function<void(run_result)>;
+using control_handler = std::function<void(control_result)>;
+
+/// Access to the databases; the only view that the proxy has of them.
+///
+/// Every handler is called exactly once. A connection whose order ended as
+/// lost is closed by the gate.
+template <class T>
+concept gate = requires(T& g, const core::address& database,
+                        connection_number number, run_order run,
+                        control_order control, core::millis timeout,
+                        open_handler on_open, run_handler on_run,
+                        control_handler on_control)
+{
+    g.open(database, number, timeout, on_open);
+    g.run(number, run, timeout, on_run);
+    g.close(number);
+    g.control(database, control, timeout, on_control);
+};
+
+} // namespace plantainward::upstream
--- /dev/null
+++ b/src/plantainward/upstream/http_gate.cpp
@@ -0,0 +1,130 @@
+#include <plantainward/upstream/http_gate.hpp>
+
+#include <plantainward/upstream/wire.hpp>
+
+#include <utility>
+
+namespace plantainward::upstream
+{
+
+namespace
+{
+
+constexpr int status_ok = 200;
+
+http::request post(std::string target, std::string body)
+{
+    return {"POST", std::move(target), {}, std::move(body)};
+}
+
+run_result to_run_result(const http::exchange_result& exchange)
+{
+    run_result lost;
+    lost.end = exchange.end == http::exchange_end::not_sent ? run_end::not_sent
+                                                            : run_end::lost;
+    if (exchange.end != http::exchange_end::answered)
+        return lost;
+    return wire::decode_run_result(exchange.body).value_or(lost);
+}
+
+control_result to_control_result(const http::exchange_result& exchange)
+{
+    control_result failed;
+    if (exchange.end == http::exchange_end::timed_out)
+        failed.end = control_end::timed_out;
+    if (exchange.end != http::exchange_end::answered ||
+        exchange.status != status_ok)
+        return failed;
+    return wire::decode_control_result(exchange.body).value_or(failed);
+}
+
+} // namespace
+
+http_gate::http_gate(boost::asio::io_context& io)
+    : m_io(io), m_control(http::client::create(io))
+{
+}
+
+http_gate::connection http_gate::find(connection_number number) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_connections.find(number);
+    return found == m_connections.end() ? connection{} : found->second;
+}
+
+void http_gate::open(const core::address& database, connection_number number,
+                     core::millis timeout, open_handler handler)
+{
+    auto made = http::client_connection::create(m_io, database);
+    {
+        const std::lock_guard lock(m_mutex);
+        m_connections[number] = made;
+    }
+    made->open(timeout,
+               [this, made, number, timeout,
+                handler = std::move(handler)](bool ok) mutable
+               {
+                   if (!ok)
+                   {
+                       close(number);
+                       return handler(open_end::failed);
+                   }
+                   made->exchange(
+                       post("/session", "{}"), timeout,
+                       [this, number, handler = std::move(handler)](
+                           const http::exchange_result& result)
+                       {
+                           const bool answered =
+                               result.end == http::exchange_end::answered;
+                           if (answered && result.status == status_ok)
+                               return handler(open_end::opened);
+                           close(number);
+                           handler(answered ? open_end::refused_by_limit
+                                            : open_end::failed);
+                       });
+               });
+}
+
+void http_gate::run(connection_number number, const run_order& order,
+                    core::millis timeout, run_handler handler)
+{
+    const auto one = find(number);
+    if (!one)
+        return handler({});
+    one->exchange(
+        post("/run", wire::encode(order)), timeout,
+        [this, number,
+         handler = std::move(handler)](const http::exchange_result& exchange)
+        {
+            auto result = to_run_result(exchange);
+            if (result.end == run_end::lost || result.end == run_end::not_sent)
+                close(number);
+            handler(std::move(result));
+        });
+}
+
+void http_gate::close(connection_number number)
+{
+    connection one;
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto found = m_connections.find(number);
+        if (found == m_connections.end())
+            return;
+        one = std::move(found->second);
+        m_connections.erase(found);
+    }
+    one->close();
+}
+
+void http_gate::control(const core::address& database,
+                        const control_order& order, core::millis timeout,
+                        control_handler handler)
+{
+    m_control->send(
+        database, post("/control", wire::encode(order)), timeout,
+        [handler = std::move(handler)](const http::exchange_result& exchange)
+        { handler(to_control_result(exchange)); });
+}
+
+} // namespace plantainward::upstream
--- /dev/null
+++ b/src/plantainward/upstream/http_gate.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <plantainward/http/client.hpp>
+#include <plantainward/upstream/gate.hpp>
+
+#include <memory>
+#include <mutex>
+#include <unordered_map>
+
+#include <boost/asio/io_context.hpp>
+
+namespace plantainward::upstream
+{
+
+/// The gate over the databases' HTTP protocol.
+class http_gate
+{
+public:
+    explicit http_gate(boost::asio::io_context& io);
+
+    /// Opens a connection and reserves one of the database's slots for it.
+    void open(const core::address& database, connection_number number,
+              core::millis timeout, open_handler handler);
+
+    /// Runs an order on an open connection.
+    void run(connection_number number, const run_order& order,
+             core::millis timeout, run_handler handler);
+
+    /// Closes a connection; an open transaction ends at the database.
+    void close(connection_number number);
+
+    /// Sends a control order to a database.
+    void control(const core::address& database, const control_order& order,
+                 core::millis timeout, control_handler handler);
+
+private:
+    using connection = std::shared_ptr<http::client_connection>;
+
+    connection find(connection_number number) const;
+
+    boost::asio::io_context& m_io;
+    std::shared_ptr<http::client> m_control;
+    mutable std::mutex m_mutex;
+    std::unordered_map<connection_number, connection> m_connections;
+};
+
+static_assert(gate<http_gate>);
+
+} // namespace plantainward::upstream
--- /dev/null
+++ b/src/plantainward/upstream/log_point.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+namespace plantainward::upstream
+{
+
+/// Number of a primary's reign in a group; grows with each promotion.
+using term_number = std::uint64_t;
+
+/// Count of the entries in a group's log.
+using log_position = std::uint64_t;
+
+/// The end of a log: the term of its last entry, then its length.
+///
+/// Logs are compared in this order and never by length alone.
+struct log_point
+{
+    term_number term{0};
+    log_position position{0};
+
+    auto operator<=>(const log_point&) const = default;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(term, position);
+    }
+};
+
+/// "term/position", for logs and reports.
+inline std::string to_string(const log_point& point)
+{
+    return std::to_string(point.term) + "/" + std::to_string(point.position);
+}
+
+} // namespace plantainward::upstream
--- /dev/null
+++ b/standins/database/database.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <database/slot_member.hpp>
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+namespace standin
+{
+
+/// A database: its slots and its limited connections. Not thread-safe.
+class database
+{
+public:
+    database(int slots, std::size_t connection_limit);
+
+    /// Reserves a connection; false at the limit.
+    bool open_session(std::uint64_t session);
+
+    /// Ends a session and the transaction that is open on it.
+    void close_session(std::uint64_t session);
+
+    upstream::run_result run(std::uint64_t session,
+                             const upstream::run_order& order);
+
+    /// Runs grant, promote, follow or status, without the waiting.
+    upstream::control_result control(const upstream::control_order& order);
+
+    slot_member& member(int slot) { return m_members.at(slot); }
+    const slot_member& member(int slot) const { return m_members.at(slot); }
+    int slots() const { return static_cast<int>(m_members.size()); }
+    std::size_t sessions() const { return m_sessions.size(); }
+    std::size_t most_sessions() const { return m_most_sessions; }
+
+private:
+    struct session_state
+    {
+        bool in_transaction{false};
+        open_transaction transaction;
+    };
+
+    upstream::run_result run_in(session_state& session,
+                                const upstream::run_order& order);
+
+    std::vector<slot_member> m_members;
+    std::size_t m_limit;
+    std::size_t m_most_sessions{0};
+    std::map<std::uint64_t, session_state> m_sessions;
+};
+
+} // namespace standin
--- /dev/null
+++ b/standins/database/main.cpp
@@ -0,0 +1,77 @@
+// Stand-in database: one process for each database of a service.
+
+#include <database/database_server.hpp>
+
+#include <plantainward/core/address.hpp>
+#include <plantainward/core/last_reason.hpp>
+
+#include <csignal>
+#include <iostream>
+#include <thread>
+#include <vector>
+
+#include <boost/asio/signal_set.hpp>
+#include <tclap/CmdLine.h>
+
+namespace
+{
+
+using namespace plantainward;
+
+int serve(const core::address& where, int slots, std::size_t limit,
+          const standin::database_faults& faults)
+{
+    boost::asio::io_context io;
+    auto database = std::make_shared<standin::database_server>(io, where, slots,
+                                                               limit, faults);
+    http::server_limits limits;
+    limits.max_body_bytes = 64U * 1024U * 1024U;
+    auto server = http::server::listen(
+        where, limits, io,
+        [&](http::connection_id from, http::request message,
+            http::responder respond)
+        { database->handle(from, std::move(message), std::move(respond)); },
+        [&](http::connection_id from) { database->handle_close(from); });
+    if (!server)
+    {
+        std::cerr << "standin_databased: " << core::last_reason().text << '\n';
+        return 1;
+    }
+    boost::asio::signal_set signals(io, SIGTERM, SIGINT);
+    signals.async_wait([&](boost::system::error_code, int) { io.stop(); });
+    std::cout << "ready " << core::to_string(where) << std::endl;
+    std::thread second([&] { io.run(); });
+    io.run();
+    second.join();
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    TCLAP::CmdLine line("Stand-in database for tests", ' ', "0.1.0");
+    TCLAP::ValueArg<std::string> listen("", "listen", "ip:port", true, "",
+                                        "address", line);
+    TCLAP::ValueArg<int> slots("", "slots", "number of slots", false, 3,
+                               "count", line);
+    TCLAP::ValueArg<int> limit("", "connections", "connection limit", false, 50,
+                               "count", line);
+    TCLAP::ValueArg<int> delay("", "delay-ms", "delay of each answer", false, 0,
+                               "ms", line);
+    TCLAP::ValueArg<int> lag("", "lag-ms", "replication lag", false, 0, "ms",
+                             line);
+    line.parse(argc, argv);
+    const auto where = core::parse_address(listen.getValue());
+    if (!where)
+    {
+        std::cerr << "standin_databased: --listen: " << core::last_reason().text
+                  << '\n';
+        return 2;
+    }
+    standin::database_faults faults;
+    faults.delay_ms = delay.getValue();
+    faults.lag_ms = lag.getValue();
+    return serve(*where, slots.getValue(),
+                 static_cast<std::size_t>(limit.getValue()), faults);
+}
--- /dev/null
+++ b/standins/database/slot_member.cpp
@@ -0,0 +1,427 @@
+#include <database/slot_member.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace standin
+{
+
+namespace core = plantainward::core;
+using core::error_kind;
+using upstream::run_end;
+using upstream::run_result;
+using upstream::verb;
+
+namespace
+{
+
+run_result refuse(error_kind kind, std::string reason)
+{
+    run_result result;
+    result.end = run_end::refused;
+    result.refusal = kind;
+    result.reason = std::move(reason);
+    return result;
+}
+
+bool starts_with(const std::string& text, const std::string& prefix)
+{
+    return text.compare(0, prefix.size(), prefix) == 0;
+}
+
+} // namespace
+
+upstream::log_point slot_member::last() const
+{
+    if (m_log.empty())
+        return {};
+    return {m_log.back().term, m_log.size()};
+}
+
+upstream::slot_status slot_member::status() const
+{
+    upstream::slot_status made;
+    made.slot = m_slot;
+    made.acting = m_role;
+    made.granted = m_granted;
+    made.last = last();
+    return made;
+}
+
+bool slot_member::grant(upstream::term_number term, const std::string& claimant)
+{
+    if (term < m_granted || (term == m_granted && claimant != m_claimant))
+        return false;
+    if (term == m_granted)
+        return true;
+    m_granted = term;
+    m_claimant = claimant;
+    m_role = upstream::role::none;
+    return true;
+}
+
+bool slot_member::promote(upstream::term_number term,
+                          const std::string& claimant)
+{
+    if (term != m_granted || claimant != m_claimant)
+        return false;
+    if (m_promoted == term)
+        return m_role == upstream::role::primary;
+    m_promoted = term;
+    m_role = upstream::role::primary;
+    log_entry first;
+    first.term = term;
+    append(std::move(first));
+    return true;
+}
+
+bool slot_member::follow(upstream::term_number term)
+{
+    if (term < m_granted || m_promoted == term)
+        return false;
+    if (term > m_granted)
+    {
+        m_granted = term;
+        m_claimant.clear();
+    }
+    m_role = upstream::role::replica;
+    return true;
+}
+
+bool slot_member::is_primary_at(upstream::term_number term) const
+{
+    return m_role == upstream::role::primary && m_granted == term;
+}
+
+std::optional<run_result>
+slot_member::refuse_write(const upstream::run_order& order) const
+{
+    if (is_primary_at(order.term))
+        return std::nullopt;
+    return refuse(error_kind::wrong_term,
+                  "granted term " + std::to_string(m_granted));
+}
+
+std::optional<run_result>
+slot_member::refuse_read(const upstream::run_order& order) const
+{
+    const bool replica_at_term = m_role == upstream::role::replica &&
+                                 m_granted == order.term &&
+                                 last().term == order.term;
+    if (!is_primary_at(order.term) && !replica_at_term)
+        return refuse(error_kind::wrong_term,
+                      "granted term " + std::to_string(m_granted));
+    if (last() < order.at_least)
+        return refuse(error_kind::too_stale,
+                      "log ends at " + upstream::to_string(last()));
+    return std::nullopt;
+}
+
+std::optional<run_result>
+slot_member::recorded(const upstream::run_order& order) const
+{
+    if (order.id.empty())
+        return std::nullopt;
+    const auto found = m_ids.find(order.id);
+    if (found == m_ids.end())
+        return std::nullopt;
+    const auto& entry = m_log[found->second];
+    const bool any_content =
+        order.kind == upstream::run_kind::settle && order.digest.empty();
+    if (!entry.voids_id && !any_content && entry.digest != order.digest)
+        return refuse(error_kind::id_reused,
+                      "the id was used with other content");
+    run_result result;
+    result.end = run_end::answered;
+    result.answer.results = entry.results;
+    result.answer.seen = last();
+    result.answer.replayed = !entry.voids_id;
+    result.answer.voided = entry.voids_id;
+    return result;
+}
+
+std::optional<std::string>
+slot_member::read_key(const std::string& key,
+                      open_transaction& transaction) const
+{
+    const auto own = transaction.writes.find(key);
+    if (own != transaction.writes.end())
+        return own->second;
+    transaction.read_keys.emplace_back(key, m_log.size());
+    const auto found = m_data.find(key);
+    return found == m_data.end() ? std::nullopt : found->second.value;
+}
+
+upstream::statement_result
+slot_member::list(const std::string& prefix,
+                  open_transaction& transaction) const
+{
+    transaction.read_prefixes.emplace_back(prefix, m_log.size());
+    std::map<std::string, std::optional<std::string>> seen;
+    for (auto it = m_data.lower_bound(prefix);
+         it != m_data.end() && starts_with(it->first, prefix); ++it)
+        seen[it->first] = it->second.value;
+    for (const auto& [key, value] : transaction.writes)
+    {
+        if (!starts_with(key, prefix))
+            continue;
+        seen[key] = value;
+    }
+    upstream::statement_result result;
+    for (const auto& [key, value] : seen)
+    {
+        if (!value)
+            continue;
+        result.rows.push_back({key, *value});
+    }
+    return result;
+}
+
+std::optional<upstream::statement_result>
+slot_member::apply(const upstream::statement& one,
+                   open_transaction& transaction) const
+{
+    upstream::statement_result result;
+    if (one.what == verb::list)
+        return list(one.key, transaction);
+    if (one.what == verb::put)
+    {
+        transaction.writes[one.key] = one.value;
+        return result;
+    }
+    if (one.what == verb::remove)
+    {
+        transaction.writes[one.key] = std::nullopt;
+        return result;
+    }
+    const auto current = read_key(one.key, transaction);
+    if (one.what == verb::put_if_absent)
+    {
+        if (current)
+            return std::nullopt;
+        transaction.writes[one.key] = one.value;
+        return result;
+    }
+    if (one.what == verb::get)
+    {
+        if (current)
+            result.rows.push_back({one.key, *current});
+        return result;
+    }
+    std::int64_t number = 0;
+    if (current)
+        std::from_chars(current->data(), current->data() + current->size(),
+                        number);
+    const auto sum = std::to_string(number + one.amount);
+    transaction.writes[one.key] = sum;
+    result.rows.push_back({one.key, sum});
+    return result;
+}
+
+run_result slot_member::one_shot(const upstream::run_order& order)
+{
+    const bool read_only = std::all_of(
+        order.statements.begin(), order.statements.end(),
+        [](const upstream::statement& one) { return is_read(one.what); });
+    if (read_only && order.id.empty())
+    {
+        if (auto refused = refuse_read(order))
+            return *refused;
+        open_transaction transaction;
+        return execute(order, transaction);
+    }
+    if (auto refused = refuse_write(order))
+        return *refused;
+    if (auto found = recorded(order))
+        return *found;
+    open_transaction transaction;
+    auto result = execute(order, transaction);
+    if (result.end != run_end::answered)
+        return result;
+    transaction.results = std::move(result.answer.results);
+    return commit(order, transaction);
+}
+
+run_result slot_member::begin(const upstream::run_order& order,
+                              open_transaction& transaction) const
+{
+    if (auto refused = refuse_write(order))
+        return *refused;
+    transaction.slot = m_slot;
+    transaction.term = order.term;
+    run_result result;
+    result.end = run_end::answered;
+    result.answer.seen = last();
+    result.answer.in_transaction = true;
+    return result;
+}
+
+run_result slot_member::execute(const upstream::run_order& order,
+                                open_transaction& transaction) const
+{
+    run_result result;
+    for (const auto& one : order.statements)
+    {
+        auto made = apply(one, transaction);
+        if (!made)
+            return refuse(error_kind::statement_failed,
+                          "key '" + one.key + "' is present");
+        result.answer.results.push_back(std::move(*made));
+    }
+    result.end = run_end::answered;
+    result.answer.seen = last();
+    return result;
+}
+
+bool slot_member::has_conflict(const open_transaction& transaction) const
+{
+    for (const auto& [key, at] : transaction.read_keys)
+    {
+        const auto found = m_data.find(key);
+        if (found != m_data.end() && found->second.written_at > at)
+            return true;
+    }
+    for (const auto& [prefix, at] : transaction.read_prefixes)
+        for (auto it = m_data.lower_bound(prefix);
+             it != m_data.end() && starts_with(it->first, prefix); ++it)
+            if (it->second.written_at > at)
+                return true;
+    return false;
+}
+
+run_result slot_member::commit(const upstream::run_order& order,
+                               open_transaction& transaction)
+{
+    if (auto refused = refuse_write(order))
+        return *refused;
+    if (auto found = recorded(order))
+        return *found;
+    if (has_conflict(transaction))
+        return refuse(error_kind::conflict,
+                      "data read by the transaction has changed");
+    log_entry entry;
+    entry.term = order.term;
+    entry.id = order.id;
+    entry.digest = order.digest;
+    entry.results = std::move(transaction.results);
+    for (auto& [key, value] : transaction.writes)
+        entry.writes.emplace_back(key, std::move(value));
+    if (entry.writes.empty() && entry.id.empty())
+    {
+        run_result result;
+        result.end = run_end::answered;
+        result.answer.results = std::move(entry.results);
+        result.answer.seen = last();
+        return result;
+    }
+    return append(std::move(entry));
+}
+
+run_result slot_member::settle(const upstream::run_order& order)
+{
+    if (auto refused = refuse_write(order))
+        return *refused;
+    if (auto found = recorded(order))
+        return *found;
+    log_entry entry;
+    entry.term = order.term;
+    entry.id = order.id;
+    entry.digest = order.digest;
+    entry.voids_id = true;
+    auto result = append(std::move(entry));
+    result.answer.voided = true;
+    return result;
+}
+
+run_result slot_member::append(log_entry entry)
+{
+    run_result result;
+    result.end = run_end::answered;
+    result.answer.results = entry.results;
+    install(entry);
+    if (m_term_ends.empty() || m_term_ends.back().term != entry.term)
+        m_term_ends.push_back({entry.term, 0});
+    m_log.push_back(std::move(entry));
+    m_term_ends.back().position = m_log.size();
+    result.answer.seen = last();
+    return result;
+}
+
+void slot_member::install(const log_entry& entry)
+{
+    const auto position = m_log.size() + 1;
+    for (const auto& [key, value] : entry.writes)
+        m_data[key] = version{value, position};
+    if (!entry.id.empty())
+        m_ids[entry.id] = m_log.size();
+}
+
+void slot_member::truncate(upstream::log_position length)
+{
+    if (length >= m_log.size())
+        return;
+    auto kept = std::move(m_log);
+    kept.resize(length);
+    m_log.clear();
+    m_data.clear();
+    m_ids.clear();
+    m_term_ends.clear();
+    for (auto& entry : kept)
+        append(std::move(entry));
+}
+
+pull_order slot_member::make_pull() const
+{
+    pull_order order;
+    order.slot = m_slot;
+    order.term = m_granted;
+    order.term_ends = m_term_ends;
+    return order;
+}
+
+upstream::log_position
+slot_member::common_with(const std::vector<upstream::log_point>& ends) const
+{
+    upstream::log_position common = 0;
+    const auto shared = std::min(ends.size(), m_term_ends.size());
+    for (std::size_t i = 0; i < shared; ++i)
+    {
+        if (ends[i].term != m_term_ends[i].term)
+            break;
+        common = std::min(ends[i].position, m_term_ends[i].position);
+        if (ends[i].position != m_term_ends[i].position)
+            break;
+    }
+    return common;
+}
+
+pull_reply slot_member::serve_pull(const pull_order& order,
+                                   upstream::log_position visible,
+                                   std::size_t max_entries) const
+{
+    pull_reply reply;
+    reply.term = order.term;
+    if (m_promoted != order.term)
+        return reply;
+    reply.accepted = true;
+    reply.common = common_with(order.term_ends);
+    const auto end = std::min<upstream::log_position>(
+        {visible, m_log.size(), reply.common + max_entries});
+    for (auto i = reply.common; i < end; ++i)
+        reply.entries.push_back(m_log[i]);
+    return reply;
+}
+
+bool slot_member::apply_pull(const pull_reply& reply)
+{
+    if (!reply.accepted || reply.term != m_granted ||
+        m_role != upstream::role::replica || reply.common > m_log.size())
+        return false;
+    truncate(reply.common);
+    for (const auto& entry : reply.entries)
+        append(entry);
+    return true;
+}
+
+} // namespace standin
