--- /dev/null
+++ b/tests/coordinator/explorer_tests.cpp
@@ -0,0 +1,257 @@
+#include <support/history_checker.hpp>
+#include <support/world.hpp>
+
+#include <cstdio>
+#include <cstdlib>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace support;
+
+namespace
+{
+
+constexpr int counters = 3;
+constexpr int sessions = 6;
+constexpr core::millis run_time{12'000};
+
+struct caller_session
+{
+    int number{0};
+    std::map<int, upstream::log_point> token;
+    bool busy{false};
+};
+
+/// Callers that add to counters and read them, through any gateway.
+class counter_load
+{
+public:
+    counter_load(world& where, history_checker& history)
+        : m_world(where), m_history(history)
+    {
+        for (int i = 0; i < sessions; ++i)
+        {
+            m_sessions.push_back({i, {}, false});
+            step(i);
+        }
+    }
+
+    void stop() { m_running = false; }
+
+private:
+    std::uint64_t roll(std::uint64_t sides) { return m_world.random()() % sides; }
+
+    void step(int session)
+    {
+        m_world.after(core::millis(1 + roll(40)), [this, session] {
+            if (!m_running)
+                return;
+            start(session);
+        });
+    }
+
+    void start(int session)
+    {
+        counter_event event;
+        event.session = session;
+        event.counter = "counter/" + std::to_string(roll(counters));
+        event.started = m_world.now();
+        auto request = make_request({});
+        request.time_left = core::millis(50 + roll(3000));
+        request.session = m_sessions[session].token[0];
+        const auto choice = roll(10);
+        if (choice < 5)
+        {
+            const auto label = "add-" + std::to_string(++m_last_id);
+            const bool has_id = roll(5) > 0;
+            event.id = label;
+            request.id = has_id ? label : "";
+            // The label is written beside the effect, to count it later.
+            request.statements = {
+                {upstream::verb::add, event.counter, "", 1},
+                {upstream::verb::add, "label/" + label, "", 1}};
+        }
+        else
+        {
+            event.what = choice < 7   ? counter_event::kind::latest_read
+                         : choice < 9 ? counter_event::kind::session_read
+                                      : counter_event::kind::aged_read;
+            request.need = choice < 7   ? coordinator::freshness::latest
+                           : choice < 9 ? coordinator::freshness::session
+                                        : coordinator::freshness::max_age;
+            event.max_age = core::millis(100 + roll(1000));
+            request.max_age = event.max_age;
+            request.statements = {{upstream::verb::get, event.counter, "", 0}};
+        }
+        send(session, event, request, 0);
+    }
+
+    void send(int session, const counter_event& event,
+              const coordinator::caller_request& request, int attempt)
+    {
+        m_world.send(
+            static_cast<int>(roll(2)), request,
+            [=, this](const coordinator::caller_reply& reply) {
+                auto seen = event;
+                seen.answered = m_world.now();
+                seen.ran = reply.error
+                               ? core::answer_for(*reply.error).ran
+                               : core::effect::done;
+                if (!reply.error && !reply.results.empty() &&
+                    !reply.results[0].rows.empty())
+                    seen.value = std::atoll(
+                        reply.results[0].rows[0].value.c_str());
+                auto& token = m_sessions[session].token[0];
+                if (!reply.error)
+                    token = std::max(token, reply.seen);
+                m_history.record(seen);
+                // A caller that does not know asks again by the same id.
+                const bool asks_again = seen.ran == core::effect::unknown &&
+                                        !request.id.empty() && attempt < 2;
+                if (asks_again && m_running)
+                    return send(session, event, request, attempt + 1);
+                step(session);
+            });
+    }
+
+    world& m_world;
+    history_checker& m_history;
+    std::vector<caller_session> m_sessions;
+    int m_last_id{0};
+    bool m_running{true};
+};
+
+/// Brings about one random fault after another.
+class random_faults
+{
+public:
+    explicit random_faults(world& where) : m_world(where) { step(); }
+    void stop() { m_running = false; }
+
+private:
+    std::uint64_t roll(std::uint64_t sides) { return m_world.random()() % sides; }
+
+    void step()
+    {
+        m_world.after(core::millis(50 + roll(900)), [this] {
+            if (!m_running)
+                return;
+            strike();
+            step();
+        });
+    }
+
+    void strike()
+    {
+        const int database = static_cast<int>(roll(3));
+        const int host = static_cast<int>(roll(2));
+        const core::millis length(100 + roll(2500));
+        switch (roll(9))
+        {
+        case 0:
+            m_world.cut(host, database, true);
+            m_world.after(length, [=, this] {
+                m_world.cut(host, database, false);
+            });
+            break;
+        case 1:
+            m_world.cut_replication(database, true);
+            m_world.after(length, [=, this] {
+                m_world.cut_replication(database, false);
+            });
+            break;
+        case 2:
+            m_world.freeze_database(database, true);
+            m_world.after(length, [=, this] {
+                m_world.freeze_database(database, false);
+            });
+            break;
+        case 3:
+            m_world.kill_database(database);
+            m_world.after(length,
+                          [=, this] { m_world.restart_database(database); });
+            break;
+        case 4:
+            m_world.pause_host(host, length);
+            break;
+        case 5:
+            m_world.kill_host(host);
+            break;
+        case 6:
+            m_world.set_lag(database, core::millis(roll(400)));
+            break;
+        case 7:
+            m_world.lose_next_answer(database);
+            break;
+        default:
+            m_world.set_leaving(database, true);
+            m_world.after(length, [=, this] {
+                m_world.set_leaving(database, false);
+            });
+            break;
+        }
+    }
+
+    world& m_world;
+    bool m_running{true};
+};
+
+std::vector<std::string> explore(std::uint64_t seed, std::size_t& done)
+{
+    world_options options;
+    options.seed = seed;
+    world fleet(options);
+    fleet.run_for(core::millis(1000));
+    history_checker history;
+    counter_load load(fleet, history);
+    random_faults faults(fleet);
+    fleet.run_for(run_time);
+    faults.stop();
+    load.stop();
+    fleet.heal();
+
+    std::vector<std::string> found;
+    const auto primary = fleet.primary();
+    if (!primary)
+        return {"no primary after the faults were mended"};
+    std::map<std::string, int> applied;
+    std::map<std::string, std::int64_t> finals;
+    for (const auto& entry : fleet.database(*primary).member(0).log())
+        for (const auto& [key, value] : entry.writes)
+        {
+            if (key.starts_with("label/"))
+                applied[key.substr(6)] = std::atoi(value->c_str());
+            else
+                finals[key] = std::atoll(value->c_str());
+        }
+    done += history.done();
+    return history.check(applied, finals);
+}
+
+std::uint64_t setting(const char* name, std::uint64_t fallback)
+{
+    const char* text = std::getenv(name);
+    return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
+}
+
+} // namespace
+
+TEST_GROUP(explorer) {};
+
+TEST(explorer, random_faults_break_no_promise)
+{
+    const auto first = setting("EXPLORER_SEED", 1);
+    const auto count = setting("EXPLORER_RUNS", 40);
+    std::size_t done = 0;
+    for (auto seed = first; seed < first + count; ++seed)
+    {
+        const auto faults = explore(seed, done);
+        for (const auto& one : faults)
+            std::printf("seed %llu: %s\n",
+                        static_cast<unsigned long long>(seed), one.c_str());
+        CHECK_TEXT(faults.empty(), "a promise was broken; see the seed above");
+    }
+    std::printf("(%zu answered requests in %llu runs) ", done,
+                static_cast<unsigned long long>(count));
+    CHECK(done > count * 500);
+}
--- a/tests/core/rendezvous_tests.cpp
+++ b/tests/core/rendezvous_tests.cpp
@@ -1,5 +1,6 @@
 #include <plantainward/core/rendezvous.hpp>
 
+#include <algorithm>
 #include <set>
 
 #include <CppUTest/TestHarness.h>
