--- a/src/plantainward/coordinator/group_view.cpp
+++ b/src/plantainward/coordinator/group_view.cpp
@@ -25,7 +25,7 @@
     mine = {status, sent_at, true, true};
     if (status.acting != upstream::role::primary || status.granted < m_term)
         return false;
-    if (m_doubted_at && sent_at > *m_doubted_at)
+    if (m_doubted_at && (sent_at > *m_doubted_at || status.granted > m_term))
         m_doubted_at.reset();
     const bool changed = status.granted > m_term || m_primary != member;
     if (changed)
--- a/tests/coordinator/explorer_tests.cpp
+++ b/tests/coordinator/explorer_tests.cpp
@@ -39,15 +39,20 @@
     void stop() { m_running = false; }
 
 private:
-    std::uint64_t roll(std::uint64_t sides) { return m_world.random()() % sides; }
+    std::uint64_t roll(std::uint64_t sides)
+    {
+        return m_world.random()() % sides;
+    }
 
     void step(int session)
     {
-        m_world.after(core::millis(1 + roll(40)), [this, session] {
-            if (!m_running)
-                return;
-            start(session);
-        });
+        m_world.after(core::millis(1 + roll(40)),
+                      [this, session]
+                      {
+                          if (!m_running)
+                              return;
+                          start(session);
+                      });
     }
 
     void start(int session)
@@ -91,16 +96,16 @@
     {
         m_world.send(
             static_cast<int>(roll(2)), request,
-            [=, this](const coordinator::caller_reply& reply) {
+            [=, this](const coordinator::caller_reply& reply)
+            {
                 auto seen = event;
                 seen.answered = m_world.now();
-                seen.ran = reply.error
-                               ? core::answer_for(*reply.error).ran
-                               : core::effect::done;
+                seen.ran = reply.error ? core::answer_for(*reply.error).ran
+                                       : core::effect::done;
                 if (!reply.error && !reply.results.empty() &&
                     !reply.results[0].rows.empty())
-                    seen.value = std::atoll(
-                        reply.results[0].rows[0].value.c_str());
+                    seen.value =
+                        std::atoll(reply.results[0].rows[0].value.c_str());
                 auto& token = m_sessions[session].token[0];
                 if (!reply.error)
                     token = std::max(token, reply.seen);
@@ -129,16 +134,21 @@
     void stop() { m_running = false; }
 
 private:
-    std::uint64_t roll(std::uint64_t sides) { return m_world.random()() % sides; }
+    std::uint64_t roll(std::uint64_t sides)
+    {
+        return m_world.random()() % sides;
+    }
 
     void step()
     {
-        m_world.after(core::millis(50 + roll(900)), [this] {
-            if (!m_running)
-                return;
-            strike();
-            step();
-        });
+        m_world.after(core::millis(50 + roll(900)),
+                      [this]
+                      {
+                          if (!m_running)
+                              return;
+                          strike();
+                          step();
+                      });
     }
 
     void strike()
@@ -150,21 +160,18 @@
         {
         case 0:
             m_world.cut(host, database, true);
-            m_world.after(length, [=, this] {
-                m_world.cut(host, database, false);
-            });
+            m_world.after(length,
+                          [=, this] { m_world.cut(host, database, false); });
             break;
         case 1:
             m_world.cut_replication(database, true);
-            m_world.after(length, [=, this] {
-                m_world.cut_replication(database, false);
-            });
+            m_world.after(length, [=, this]
+                          { m_world.cut_replication(database, false); });
             break;
         case 2:
             m_world.freeze_database(database, true);
-            m_world.after(length, [=, this] {
-                m_world.freeze_database(database, false);
-            });
+            m_world.after(length, [=, this]
+                          { m_world.freeze_database(database, false); });
             break;
         case 3:
             m_world.kill_database(database);
@@ -185,9 +192,8 @@
             break;
         default:
             m_world.set_leaving(database, true);
-            m_world.after(length, [=, this] {
-                m_world.set_leaving(database, false);
-            });
+            m_world.after(length,
+                          [=, this] { m_world.set_leaving(database, false); });
             break;
         }
     }
@@ -236,7 +242,7 @@
 
 } // namespace
 
-TEST_GROUP(explorer) {};
+TEST_GROUP(explorer){};
 
 TEST(explorer, random_faults_break_no_promise)
 {
--- a/tests/support/history_checker.cpp
+++ b/tests/support/history_checker.cpp
@@ -11,7 +11,10 @@
 namespace
 {
 
-bool is_done(const counter_event& one) { return one.ran == effect::done; }
+bool is_done(const counter_event& one)
+{
+    return one.ran == effect::done;
+}
 
 // Whether a read must show an earlier event that was answered.
 bool must_show(const counter_event& read, const counter_event& earlier)
--- a/tests/support/world.hpp
+++ b/tests/support/world.hpp
@@ -181,8 +181,8 @@
 };
 
 /// A one-shot request to the world's service.
-coordinator::caller_request make_request(
-    std::vector<upstream::statement> statements,
-    coordinator::freshness need = coordinator::freshness::latest);
+coordinator::caller_request
+make_request(std::vector<upstream::statement> statements,
+             coordinator::freshness need = coordinator::freshness::latest);
 
 } // namespace support
