Promises under fault tables, contract tests, and what they found

Found and mended, each with its test: a primary cut off from its replicas won its own replacement, since its log was the highest; a promotion whose claimant died before it told the followers was repaired by the first watcher only; work was sent on idle connections of a dead database and ended unknown; a host taken for dead was never told and so could not refute; a log line was used after it was moved from.

--- a/src/plantainward/coordinator/service_coordinator.cpp
+++ b/src/plantainward/coordinator/service_coordinator.cpp
@@ -432,6 +432,9 @@
 {
     for (auto& view : m_views)
         view.set_unreachable(database);
+    // What is sent on a dead connection ends with an unknown outcome.
+    for (const auto connection : m_pools[database].take_all_idle())
+        m_out.emplace_back(close_action{connection});
     m_recheck = true;
     m_out.emplace_back(suspect_action{database});
 }
@@ -449,6 +452,12 @@
                                       upstream::run_answer answer,
                                       core::instant now)
 {
+    // A replica vouches only for the term that it was asked at.
+    if (is_read_only(one.request) && answer.seen.term != one.term)
+    {
+        release(one, answer.in_transaction);
+        return requeue(number, one, now);
+    }
     m_retries.on_success();
     one.answer = std::move(answer);
     one.answered = now;
--- a/src/plantainward/core/host.hpp
+++ b/src/plantainward/core/host.hpp
@@ -13,7 +13,8 @@
     std::string ip;
     std::uint16_t port{0};
 
-    auto operator<=>(const address&) const = default;
+    // clang-tidy 14 misreads a defaulted comparison.
+    auto operator<=>(const address&) const = default; // NOLINT
 
     template <class Archive>
     void serialize(Archive& archive)
@@ -38,7 +39,7 @@
     /// Address of the peer interface, TCP and UDP.
     address peer;
 
-    auto operator<=>(const host&) const = default;
+    auto operator<=>(const host&) const = default; // NOLINT
 
     template <class Archive>
     void serialize(Archive& archive)
--- a/src/plantainward/daemon/coordinator_shell.hpp
+++ b/src/plantainward/daemon/coordinator_shell.hpp
@@ -168,7 +168,7 @@
             todo = event(m_coordinator);
         }
         for (auto& one : todo)
-            std::visit([this](auto& action) { carry_out(action); }, one);
+            std::visit([this](auto& action) { this->carry_out(action); }, one);
     }
 
     void carry_out(const coordinator::open_action& action)
--- a/src/plantainward/daemon/gateway.cpp
+++ b/src/plantainward/daemon/gateway.cpp
@@ -71,7 +71,7 @@
     return made;
 }
 
-void gateway::handle(http::request message, http::responder respond)
+void gateway::handle(const http::request& message, http::responder respond)
 {
     if (message.target == "/v1/health")
         return respond(health());
--- a/src/plantainward/daemon/gateway.hpp
+++ b/src/plantainward/daemon/gateway.hpp
@@ -23,7 +23,7 @@
             std::string instance);
 
     /// Serves one request of the caller interface.
-    void handle(http::request message, http::responder respond);
+    void handle(const http::request& message, http::responder respond);
 
     /// Runs a request that a peer's gateway sent to this coordinator.
     void serve_peer(coordinator::caller_request request, reply_handler handler);
--- a/src/plantainward/daemon/monitor_shell.hpp
+++ b/src/plantainward/daemon/monitor_shell.hpp
@@ -78,7 +78,8 @@
             todo = event(m_monitor);
         }
         for (const auto& one : todo)
-            std::visit([this](const auto& action) { carry_out(action); }, one);
+            std::visit([this](const auto& action) { this->carry_out(action); },
+                       one);
     }
 
     void carry_out(const failover::probe_action& action)
--- a/src/plantainward/daemon/service_directory.cpp
+++ b/src/plantainward/daemon/service_directory.cpp
@@ -164,6 +164,7 @@
     const bool is_changed = coordinator && !coordinator->set_layout(layout);
     const auto watchers = route.watchers();
     std::vector<std::string> names;
+    names.reserve(watchers.size());
     for (const auto& one : watchers)
         names.push_back(one.name);
     const bool watches =
--- a/src/plantainward/failover/failover_monitor.hpp
+++ b/src/plantainward/failover/failover_monitor.hpp
@@ -71,6 +71,8 @@
     {
         upstream::slot_status status;
         bool known{false};
+        /// Since when it does not follow the primary.
+        std::optional<core::instant> astray_since;
         core::instant repaired;
     };
 
@@ -102,10 +104,16 @@
                                       core::instant now) const;
     void consider_claim(std::size_t index, core::instant now);
     void consider_handover(std::size_t index, core::instant now);
-    void start_claim(std::size_t index, std::optional<std::size_t> handover,
-                     core::instant now);
+    void start_claim(std::size_t index, claim_plan plan, core::instant now);
     void follow_claim(std::size_t index, core::instant now);
     void repair(std::size_t index, core::instant now);
+    bool follows(const slot_state& state, std::size_t index,
+                 upstream::term_number term) const;
+    core::millis rank_wait() const
+    {
+        return m_options.rank_backoff *
+               static_cast<core::millis::rep>(m_rank.value_or(0));
+    }
     void probe(core::instant now);
     void forgive_after_own_pause(core::instant now);
     void note(observe::event_kind kind, std::size_t index, std::string reason);
--- a/src/plantainward/http/client.cpp
+++ b/src/plantainward/http/client.cpp
@@ -24,7 +24,7 @@
 namespace beast_http = boost::beast::http;
 using boost::system::error_code;
 
-constexpr std::size_t max_answer_bytes = 64U * 1024U * 1024U;
+constexpr std::size_t max_answer_bytes = std::size_t{64} * 1024 * 1024;
 constexpr std::size_t max_kept_per_server = 8;
 
 class tcp_client_connection final : public client_connection
--- a/src/plantainward/http/server.hpp
+++ b/src/plantainward/http/server.hpp
@@ -31,12 +31,12 @@
 struct server_limits
 {
     std::size_t threads{2};
-    std::size_t max_header_bytes{16U * 1024U};
-    std::size_t max_body_bytes{1024U * 1024U};
+    std::size_t max_header_bytes{std::size_t{16} * 1024};
+    std::size_t max_body_bytes{std::size_t{1024} * 1024};
     /// Pipelined requests that may wait for an answer on one connection.
     std::size_t max_pipelined{64};
     /// Unsent response bytes after which a slow reader is disconnected.
-    std::size_t max_unsent_bytes{16U * 1024U * 1024U};
+    std::size_t max_unsent_bytes{std::size_t{16} * 1024 * 1024};
     /// Time for a request to arrive whole.
     core::millis request_timeout{10'000};
     /// Time that a connection may stay without a request.
--- a/src/plantainward/membership/membership.cpp
+++ b/src/plantainward/membership/membership.cpp
@@ -49,6 +49,14 @@
     m_out.emplace_back(send_action{where, std::move(made)});
 }
 
+// A host that is taken for dead learns it from whoever it asks, and refutes.
+void membership::tell_of_suspicion(const std::string& name)
+{
+    const auto* about = m_table.find(name);
+    if (about != nullptr && about->known.state != member_state::alive)
+        std::get<send_action>(m_out.back()).what.news.push_back(about->known);
+}
+
 void membership::take_news(const update& news, core::instant now)
 {
     if (news.who.name == m_self.who.name)
@@ -82,6 +90,7 @@
     {
     case message_kind::ping:
         send(from, message_kind::ack, what.sequence);
+        tell_of_suspicion(what.sender.who.name);
         break;
     case message_kind::ping_request:
         m_relays.push_back({++m_last_sequence, what.sequence, from, now});
--- a/src/plantainward/membership/membership.hpp
+++ b/src/plantainward/membership/membership.hpp
@@ -118,6 +118,7 @@
 
     void send(const core::address& where, message_kind kind,
               std::uint64_t sequence, const core::host& target = {});
+    void tell_of_suspicion(const std::string& name);
     void take_news(const update& news, core::instant now);
     void check_probe(core::instant now);
     void start_probe(core::instant now);
--- a/src/plantainward/observe/log.cpp
+++ b/src/plantainward/observe/log.cpp
@@ -59,7 +59,8 @@
 {
     if (level < current().lowest)
         return;
-    BOOST_LOG_SEV(current().sink, level) << render(level, std::move(fields));
+    const auto line = render(level, std::move(fields));
+    BOOST_LOG_SEV(current().sink, level) << line;
 }
 
 } // namespace
--- a/src/plantainward/peer/frame.hpp
+++ b/src/plantainward/peer/frame.hpp
@@ -37,7 +37,7 @@
 };
 
 /// Largest frame that is sent or accepted, in bytes.
-inline constexpr std::size_t max_frame = 64U * 1024U * 1024U;
+inline constexpr std::size_t max_frame = std::size_t{64} * 1024 * 1024;
 
 /// Bytes before the body of a frame: its length and its version.
 inline constexpr std::size_t frame_header_bytes = 5;
--- a/src/plantainward/peer/peer_server.cpp
+++ b/src/plantainward/peer/peer_server.cpp
@@ -23,7 +23,7 @@
 {
 
 /// Unsent answer bytes after which a slow peer is disconnected.
-constexpr std::size_t max_unsent = 128U * 1024U * 1024U;
+constexpr std::size_t max_unsent = std::size_t{128} * 1024 * 1024;
 
 /// One link from a peer; answers leave in the order in which they are ready.
 class incoming_link : public std::enable_shared_from_this<incoming_link>
--- a/src/plantainward/upstream/log_point.hpp
+++ b/src/plantainward/upstream/log_point.hpp
@@ -21,7 +21,8 @@
     term_number term{0};
     log_position position{0};
 
-    auto operator<=>(const log_point&) const = default;
+    // clang-tidy 14 misreads a defaulted comparison.
+    auto operator<=>(const log_point&) const = default; // NOLINT
 
     template <class Archive>
     void serialize(Archive& archive)
--- a/standins/database/database_server.cpp
+++ b/standins/database/database_server.cpp
@@ -59,11 +59,12 @@
 {
 }
 
-void database_server::handle(http::connection_id from, http::request message,
+void database_server::handle(http::connection_id from,
+                             const http::request& message,
                              http::responder respond)
 {
     if (message.target == "/faults")
-        return set_faults(message.body, std::move(respond));
+        return set_faults(message.body, respond);
     if (message.target == "/state")
         return report_state(respond);
     if (message.target == "/pull")
@@ -327,7 +328,7 @@
 }
 
 void database_server::set_faults(const std::string& body,
-                                 http::responder respond)
+                                 const http::responder& respond)
 {
     boost::system::error_code bad;
     const auto parsed = json::parse(body, bad);
--- a/standins/database/database_server.hpp
+++ b/standins/database/database_server.hpp
@@ -45,7 +45,7 @@
     database_server(boost::asio::io_context& io, core::address self, int slots,
                     std::size_t connection_limit, database_faults faults);
 
-    void handle(http::connection_id from, http::request message,
+    void handle(http::connection_id from, const http::request& message,
                 http::responder respond);
     void handle_close(http::connection_id from);
 
@@ -69,7 +69,7 @@
              http::responder respond);
     void control(const std::string& body, http::responder respond);
     void pull(const std::string& body, http::responder respond);
-    void set_faults(const std::string& body, http::responder respond);
+    void set_faults(const std::string& body, const http::responder& respond);
     void report_state(const http::responder& respond);
 
     upstream::control_result status_now();
--- /dev/null
+++ b/tests/coordinator/not_run_tests.cpp
@@ -0,0 +1,112 @@
+#include <support/fault_case.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace support;
+
+namespace
+{
+
+/// Ways to get a refusal, with the kind that the caller is told.
+struct refusal_case
+{
+    const char* name;
+    core::error_kind expected;
+    std::function<void(world&, int primary)> strike;
+};
+
+const std::vector<refusal_case> refusals{
+    {"no majority is left", core::error_kind::deadline_passed,
+     [](world& w, int primary)
+     {
+         w.kill_database(primary);
+         w.kill_database((primary + 1) % 3);
+         w.run_for(core::millis(1500));
+     }},
+    {"the statement fails", core::error_kind::statement_failed,
+     [](world& w, int)
+     {
+         w.ask(0, put("job/1", "taken", "other"));
+     }},
+    {"the coordinators are leaving", core::error_kind::unavailable,
+     [](world& w, int)
+     {
+         w.coordinator_at(0).start_drain();
+         w.coordinator_at(1).start_drain();
+     }},
+};
+
+} // namespace
+
+TEST_GROUP(not_run){};
+
+TEST(not_run, what_is_called_not_run_never_runs)
+{
+    for (const auto& row : refusals)
+    {
+        auto fleet = ready_world();
+        row.strike(fleet, *fleet.primary());
+        auto request =
+            make_request({{upstream::verb::put_if_absent, "job/1", "grind", 0},
+                          {upstream::verb::put, "ran", "yes", 0}});
+        request.time_left = core::millis(400);
+        const auto reply = fleet.ask(0, request);
+        CHECK_TEXT(reply.error == row.expected, row.name);
+        fleet.heal();
+        for (int i = 0; i < 3; ++i)
+            for (const auto& entry : fleet.database(i).member(0).log())
+                for (const auto& [key, value] : entry.writes)
+                    CHECK_TEXT(key != "ran", row.name);
+    }
+}
+
+TEST(not_run, a_lost_answer_is_called_unknown)
+{
+    auto fleet = ready_world();
+    fleet.lose_next_answer(*fleet.primary());
+    auto request = put("job/1", "grind", "");
+    request.time_left = core::millis(300);
+    CHECK(fleet.ask(0, request).error == core::error_kind::outcome_unknown);
+}
+
+TEST(not_run, an_unconfirmed_commit_is_called_unknown_at_its_deadline)
+{
+    for (const char* id : {"", "booking-1"})
+    {
+        auto fleet = ready_world();
+        fleet.cut_replication(*fleet.primary(), true);
+        auto request = put("job/1", "grind", id);
+        request.time_left = core::millis(100);
+        CHECK(fleet.ask(0, request).error == core::error_kind::outcome_unknown);
+    }
+}
+
+TEST(not_run, work_past_its_deadline_is_dropped_before_it_runs)
+{
+    auto fleet = ready_world();
+    const int primary = *fleet.primary();
+    fleet.kill_database(primary);
+    fleet.kill_database((primary + 1) % 3);
+    fleet.run_for(core::millis(1000));
+    auto request = put("job/1", "grind", "booking-1");
+    request.time_left = core::millis(100);
+    CHECK(is_not_run(fleet.ask(0, request)));
+    fleet.heal();
+    STRCMP_EQUAL("", value_of(fleet.ask(0, get("job/1"))).c_str());
+}
+
+TEST(not_run, a_request_without_a_connection_in_time_is_shed)
+{
+    world_options options;
+    options.connections = 2;
+    auto fleet = ready_world(options);
+    // Interactive transactions hold all connections of both hosts.
+    for (int i = 0; i < 2; ++i)
+    {
+        auto begin = make_request({});
+        begin.kind = coordinator::request_kind::begin;
+        CHECK(!fleet.ask(i, begin).error);
+    }
+    const auto reply = fleet.ask(0, put("job/1", "grind", "booking-1"));
+    CHECK(reply.error == core::error_kind::overloaded);
+}
--- a/tests/core/rendezvous_tests.cpp
+++ b/tests/core/rendezvous_tests.cpp
@@ -13,6 +13,7 @@
 std::vector<core::host> make_hosts(int count, int domains)
 {
     std::vector<core::host> hosts;
+    hosts.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i)
         hosts.push_back({"host-" + std::to_string(i),
                          "domain-" + std::to_string(i % domains),
--- /dev/null
+++ b/tests/daemon/forwarding_tests.cpp
@@ -0,0 +1,150 @@
+#include <plantainward/daemon/forwarding.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace plantainward;
+using coordinator::caller_request;
+using coordinator::request_kind;
+using core::error_kind;
+using daemon::forwarding;
+using peer::call_end;
+
+namespace
+{
+
+core::host make_host(const char* name)
+{
+    return {name, "domain", {"127.0.0.1", 1}, {"127.0.0.1", 2}};
+}
+
+const std::vector<core::host> ranked{make_host("first"), make_host("second")};
+
+caller_request write(const char* id)
+{
+    caller_request request;
+    request.statements = {{upstream::verb::put, "key", "value", 0}};
+    request.id = id;
+    return request;
+}
+
+struct forward_case
+{
+    const char* name;
+    caller_request request;
+    call_end end;
+    /// Kind that the caller is told; empty when another host is asked.
+    std::optional<error_kind> told;
+};
+
+caller_request read()
+{
+    caller_request request;
+    request.statements = {{upstream::verb::get, "key", "", 0}};
+    return request;
+}
+
+caller_request begin()
+{
+    caller_request request;
+    request.kind = request_kind::begin;
+    return request;
+}
+
+const std::vector<forward_case> cases{
+    {"a write that was not sent goes on", write(""), call_end::not_sent, {}},
+    {"a write without an id that was lost", write(""), call_end::lost,
+     error_kind::outcome_unknown},
+    {"a write with an id that was lost", write("id"), call_end::lost, {}},
+    {"a read that was lost", read(), call_end::lost, {}},
+    {"a begin that was lost", begin(), call_end::lost, {}},
+};
+
+} // namespace
+
+TEST_GROUP(forwarding)
+{
+    core::instant now{};
+    core::instant deadline{core::instant{} + core::millis(1000)};
+};
+
+TEST(forwarding, only_what_is_harmless_is_sent_a_second_time)
+{
+    for (const auto& row : cases)
+    {
+        forwarding one(row.request, ranked, std::nullopt, deadline);
+        STRCMP_EQUAL_TEXT("first", one.start(now).to->name.c_str(), row.name);
+        const auto step = one.next(row.end, {}, now);
+        CHECK_TEXT(step.to.has_value() == !row.told, row.name);
+        if (row.told)
+            CHECK_TEXT(step.reply.error == row.told, row.name);
+        else
+            STRCMP_EQUAL_TEXT("second", step.to->name.c_str(), row.name);
+    }
+}
+
+TEST(forwarding, a_refusal_of_the_second_copy_says_nothing_of_the_first)
+{
+    forwarding one(write("id"), ranked, std::nullopt, deadline);
+    one.start(now);
+    one.next(call_end::lost, {}, now);
+    const auto step =
+        one.next(call_end::answered,
+                 coordinator::failure(error_kind::overloaded, "busy"), now);
+    CHECK(step.reply.error == error_kind::outcome_unknown);
+}
+
+TEST(forwarding, a_settled_id_is_certain_even_after_a_loss)
+{
+    forwarding one(write("id"), ranked, std::nullopt, deadline);
+    one.start(now);
+    one.next(call_end::lost, {}, now);
+    const auto step =
+        one.next(call_end::answered,
+                 coordinator::failure(error_kind::id_voided, "void"), now);
+    CHECK(step.reply.error == error_kind::id_voided);
+}
+
+TEST(forwarding, a_leaving_coordinator_is_passed_over)
+{
+    forwarding one(write(""), ranked, std::nullopt, deadline);
+    one.start(now);
+    const auto step =
+        one.next(call_end::answered,
+                 coordinator::failure(error_kind::draining, "leaving"), now);
+    STRCMP_EQUAL("second", step.to->name.c_str());
+}
+
+TEST(forwarding, after_the_deadline_nothing_is_sent)
+{
+    forwarding one(write(""), ranked, std::nullopt, deadline);
+    one.start(now);
+    const auto step = one.next(call_end::not_sent, {}, deadline);
+    CHECK(step.reply.error == error_kind::deadline_passed);
+}
+
+TEST(forwarding, a_transaction_goes_to_its_owner_only)
+{
+    caller_request request;
+    request.kind = request_kind::execute;
+    forwarding one(request, ranked, make_host("owner"), deadline);
+    STRCMP_EQUAL("owner", one.start(now).to->name.c_str());
+    CHECK(one.next(call_end::lost, {}, now).reply.error ==
+          error_kind::outcome_unknown);
+    forwarding gone(request, ranked, std::nullopt, deadline);
+    CHECK(gone.start(now).reply.error == error_kind::transaction_lost);
+}
+
+TEST(forwarding, a_lost_commit_with_an_id_is_settled_by_another_coordinator)
+{
+    caller_request request;
+    request.kind = request_kind::commit;
+    request.id = "commit-1";
+    forwarding one(request, ranked, make_host("owner"), deadline);
+    one.start(now);
+    const auto step = one.next(call_end::lost, {}, now);
+    STRCMP_EQUAL("first", step.to->name.c_str());
+    const auto settled = one.next(
+        call_end::answered,
+        coordinator::failure(error_kind::transaction_lost, "void"), now);
+    CHECK(settled.reply.error == error_kind::transaction_lost);
+}
--- /dev/null
+++ b/tests/http/server_tests.cpp
@@ -0,0 +1,243 @@
+#include <support/raw_client.hpp>
+
+#include <plantainward/http/client.hpp>
+#include <plantainward/http/server.hpp>
+
+#include <random>
+#include <thread>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace plantainward;
+using support::raw_client;
+
+namespace
+{
+
+const core::address where{"127.0.0.1", 17801};
+
+struct bad_input
+{
+    const char* name;
+    const char* text;
+    int status;
+};
+
+const std::vector<bad_input> bad_inputs{
+    {"garbage in place of a request line", "garbage\r\n\r\n", 400},
+    {"a negative length", "POST /a HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
+     400},
+    {"two lengths",
+     "POST /a HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+     400},
+    {"a length with chunks",
+     "POST /a HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: "
+     "chunked\r\n\r\n0\r\n\r\n",
+     400},
+    {"a malformed header", "GET /a HTTP/1.1\r\nno colon\r\n\r\n", 400},
+    {"an unknown version", "GET /a HTTP/9.9\r\n\r\n", 400},
+    {"a body over the limit",
+     "POST /a HTTP/1.1\r\nContent-Length: 5000\r\n\r\n", 413},
+};
+
+} // namespace
+
+TEST_GROUP(server)
+{
+    boost::asio::io_context io;
+    std::optional<http::server> server;
+    std::thread thread;
+    std::vector<http::responder> held;
+    std::mutex mutex;
+
+    void setup() override
+    {
+        http::server_limits limits;
+        limits.max_body_bytes = 4096;
+        limits.max_header_bytes = 2048;
+        limits.max_pipelined = 8;
+        limits.request_timeout = core::millis(300);
+        server = http::server::listen(
+            where, limits, io,
+            [this](http::connection_id, const http::request& message,
+                   http::responder respond)
+            {
+                if (message.target == "/hold")
+                {
+                    const std::lock_guard lock(mutex);
+                    held.push_back(std::move(respond));
+                    return;
+                }
+                respond({200, message.target + message.body});
+            });
+        CHECK(server.has_value());
+        thread = std::thread([this] { io.run(); });
+    }
+
+    void teardown() override
+    {
+        server.reset();
+        io.stop();
+        thread.join();
+        held.clear();
+    }
+};
+
+TEST(server, pipelined_requests_are_answered_in_order)
+{
+    raw_client client(where);
+    client.send("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\nGET /3 "
+                "HTTP/1.1\r\n\r\n");
+    const auto text = client.read_until("/3");
+    CHECK(text.find("/1") < text.find("/2"));
+    CHECK(text.find("/2") < text.find("/3"));
+}
+
+TEST(server, a_late_answer_keeps_its_place)
+{
+    raw_client client(where);
+    client.send("GET /hold HTTP/1.1\r\n\r\nGET /next HTTP/1.1\r\n\r\n");
+    std::this_thread::sleep_for(core::millis(50));
+    {
+        const std::lock_guard lock(mutex);
+        LONGS_EQUAL(1, held.size());
+        held.front()({200, "held"});
+    }
+    const auto text = client.read_until("/next");
+    CHECK(text.find("held") < text.find("/next"));
+}
+
+TEST(server, an_answer_to_a_caller_that_left_reaches_nobody_else)
+{
+    for (int i = 0; i < 20; ++i)
+    {
+        {
+            raw_client gone(where);
+            gone.send("GET /hold HTTP/1.1\r\n\r\n");
+            std::this_thread::sleep_for(core::millis(5));
+        }
+        std::this_thread::sleep_for(core::millis(5));
+        raw_client other(where);
+        {
+            const std::lock_guard lock(mutex);
+            for (const auto& respond : held)
+                respond({200, "not yours"});
+            held.clear();
+        }
+        other.send("GET /mine HTTP/1.1\r\n\r\n");
+        const auto text = other.read_until("/mine");
+        CHECK(text.find("not yours") == std::string::npos);
+    }
+}
+
+TEST(server, malformed_requests_get_a_status_and_a_close)
+{
+    for (const auto& row : bad_inputs)
+    {
+        raw_client client(where);
+        client.send(row.text);
+        const auto text = client.read_to_end();
+        CHECK_TEXT(text.starts_with("HTTP/1.1 " + std::to_string(row.status)),
+                   row.name);
+        CHECK_TEXT(text.find("Connection: close") != std::string::npos,
+                   row.name);
+    }
+}
+
+TEST(server, a_header_over_the_limit_gets_431)
+{
+    raw_client client(where);
+    client.send("GET /a HTTP/1.1\r\nLong: " + std::string(5000, 'x'));
+    CHECK(client.read_to_end().starts_with("HTTP/1.1 431"));
+}
+
+TEST(server, a_body_that_never_completes_gets_408)
+{
+    raw_client client(where);
+    client.send("POST /a HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc");
+    CHECK(client.read_to_end().starts_with("HTTP/1.1 408"));
+}
+
+TEST(server, a_header_that_never_completes_gets_408)
+{
+    raw_client client(where);
+    client.send("GET /a HTTP/1.1\r\nHost:");
+    CHECK(client.read_to_end().starts_with("HTTP/1.1 408"));
+}
+
+TEST(server, the_connection_header_says_what_happens)
+{
+    raw_client kept(where);
+    kept.send("GET /a HTTP/1.1\r\n\r\n");
+    CHECK(kept.read_until("/a").find("keep-alive") != std::string::npos);
+    kept.send("GET /b HTTP/1.1\r\nConnection: close\r\n\r\n");
+    CHECK(kept.read_to_end().find("Connection: close") != std::string::npos);
+}
+
+TEST(server, too_many_pipelined_requests_end_the_connection)
+{
+    raw_client client(where);
+    std::string many;
+    for (int i = 0; i < 20; ++i)
+        many += "GET /hold HTTP/1.1\r\n\r\n";
+    client.send(many);
+    std::this_thread::sleep_for(core::millis(100));
+    {
+        const std::lock_guard lock(mutex);
+        LONGS_EQUAL(8, held.size());
+        for (const auto& respond : held)
+            respond({200, "held"});
+    }
+    const auto text = client.read_to_end();
+    CHECK(text.find("HTTP/1.1 503") != std::string::npos);
+}
+
+TEST(server, a_request_split_into_single_bytes_is_read)
+{
+    raw_client client(where);
+    for (const char c :
+         std::string("POST /a HTTP/1.1\r\nContent-Length: 3\r\n\r\nxyz"))
+        client.send(std::string(1, c));
+    CHECK(client.read_until("/axyz").starts_with("HTTP/1.1 200"));
+}
+
+TEST(server, random_bytes_do_no_harm)
+{
+    std::mt19937_64 random(7);
+    for (int i = 0; i < 200; ++i)
+    {
+        raw_client client(where);
+        std::string bytes = i % 2 == 0 ? "GET /a HTTP/1.1\r\n" : "";
+        for (int k = 0; k < 200; ++k)
+            bytes += static_cast<char>(random());
+        client.send(bytes + "\r\n\r\n");
+    }
+    raw_client client(where);
+    client.send("GET /alive HTTP/1.1\r\n\r\n");
+    CHECK(client.read_until("/alive").starts_with("HTTP/1.1 200"));
+}
+
+TEST(server, large_answers_arrive_whole_at_a_slow_reader)
+{
+    raw_client client(where);
+    client.send("GET /hold HTTP/1.1\r\n\r\n");
+    std::this_thread::sleep_for(core::millis(50));
+    const std::string body(8'000'000, 'x');
+    {
+        const std::lock_guard lock(mutex);
+        held.front()({200, body + "end"});
+    }
+    std::this_thread::sleep_for(core::millis(100));
+    const auto text = client.read_until("end");
+    CHECK(text.size() > body.size());
+}
+
+TEST(server, a_client_takes_a_lost_answer_for_lost)
+{
+    http::request message{"GET", "/hold", {}, {}};
+    const auto end = http::send_and_wait(where, message, core::millis(100));
+    CHECK(end.end == http::exchange_end::timed_out);
+    const auto nobody =
+        http::send_and_wait({"127.0.0.1", 17899}, message, core::millis(100));
+    CHECK(nobody.end == http::exchange_end::not_sent);
+}
--- /dev/null
+++ b/tests/intent/applier_tests.cpp
@@ -0,0 +1,81 @@
+#include <platform/platform_state.hpp>
+
+#include <plantainward/intent/applier.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace plantainward;
+using applier =
+    intent::applier<standin::platform_state, standin::platform_state>;
+
+TEST_GROUP(applier)
+{
+    standin::platform_state platform;
+
+    intent::apply_result apply(const std::string& body, std::uint64_t seen,
+                               const std::string& writer)
+    {
+        intent::apply_result result;
+        std::make_shared<applier>(platform, platform)
+            ->apply(body, seen, writer, writer,
+                    [&](intent::apply_result end) { result = std::move(end); });
+        return result;
+    }
+
+    std::string head_writer()
+    {
+        std::string writer;
+        platform.read_row(std::string(intent::head_row),
+                          [&](const auto& row) {
+                              writer = intent::decode_head(row.value.value,
+                                                           row.value.version)
+                                           ->writer;
+                          });
+        return writer;
+    }
+};
+
+TEST(applier, revisions_count_up)
+{
+    LONGS_EQUAL(1, apply("a", 0, "morning").now.revision);
+    LONGS_EQUAL(2, apply("b", 1, "noon").now.revision);
+}
+
+TEST(applier, the_second_of_two_racing_operators_gets_a_conflict)
+{
+    CHECK_FALSE(apply("a", 0, "morning").error.has_value());
+    const auto second = apply("b", 0, "noon");
+    CHECK(second.error == core::error_kind::revision_conflict);
+    STRCMP_EQUAL("morning", second.now.author.c_str());
+    STRCMP_EQUAL("morning", head_writer().c_str());
+}
+
+TEST(applier, answers_lost_after_their_effect_are_settled)
+{
+    // The object, the head row, or both lose their answers.
+    for (int lost = 1; lost <= 4; ++lost)
+    {
+        standin::platform_state fresh;
+        platform = fresh;
+        platform.drop_answers = lost;
+        const auto result = apply("a", 0, "morning");
+        CHECK_FALSE(result.error.has_value());
+        LONGS_EQUAL(1, result.now.revision);
+        STRCMP_EQUAL("morning", head_writer().c_str());
+    }
+}
+
+TEST(applier, a_lost_answer_of_an_operator_who_lost_the_race_is_a_conflict)
+{
+    CHECK_FALSE(apply("a", 0, "morning").error.has_value());
+    platform.drop_answers = 1;
+    CHECK(apply("b", 0, "noon").error == core::error_kind::revision_conflict);
+}
+
+TEST(applier, while_the_store_is_down_nothing_is_in_force)
+{
+    platform.down = true;
+    CHECK(apply("a", 0, "morning").error == core::error_kind::platform_down);
+    platform.down = false;
+    CHECK_FALSE(apply("a", 0, "morning").error.has_value());
+}
--- a/tests/main.cpp
+++ b/tests/main.cpp
@@ -1,8 +1,7 @@
 #include <CppUTest/CommandLineTestRunner.h>
-#include <CppUTest/TestRegistry.h>
 
-// Leak detection is left to the address sanitizer: the libraries under test
-// keep buffers for the life of the process.
+// Leak detection is left to the address sanitizer: a thread keeps its last
+// reason, and the libraries under test keep buffers, beyond one test.
 int main(int argc, char** argv)
 {
     MemoryLeakWarningPlugin::turnOffNewDeleteOverloads();
--- /dev/null
+++ b/tests/peer/frame_tests.cpp
@@ -0,0 +1,173 @@
+#include <plantainward/peer/frame.hpp>
+#include <plantainward/peer/payload.hpp>
+#include <plantainward/peer/peer_client.hpp>
+#include <plantainward/peer/peer_server.hpp>
+#include <support/raw_client.hpp>
+
+#include <atomic>
+#include <thread>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace plantainward;
+using peer::call_end;
+using peer::frame;
+using peer::frame_kind;
+
+namespace
+{
+
+const core::address where{"127.0.0.1", 17802};
+
+} // namespace
+
+TEST_GROUP(frame){};
+
+TEST(frame, it_returns_whole)
+{
+    const auto bytes = peer::encode({frame_kind::reply, 42, "payload"});
+    const auto length =
+        peer::decode_header(bytes.substr(0, peer::frame_header_bytes));
+    CHECK(length == bytes.size() - peer::frame_header_bytes);
+    const auto read = peer::decode_body(bytes.substr(peer::frame_header_bytes));
+    LONGS_EQUAL(42, read->number);
+    STRCMP_EQUAL("payload", read->payload.c_str());
+}
+
+TEST(frame, another_version_and_a_length_beyond_the_bound_are_refused)
+{
+    auto bytes = peer::encode({frame_kind::reply, 42, "payload"});
+    bytes[4] = 9;
+    CHECK_FALSE(peer::decode_header(bytes).has_value());
+    CHECK_FALSE(peer::decode_header("\xff\xff\xff\xff\x01").has_value());
+    CHECK_FALSE(peer::decode_body("short").has_value());
+}
+
+TEST(frame, requests_and_replies_return_whole)
+{
+    coordinator::caller_request request;
+    request.service = "s";
+    request.max_age = core::millis(7);
+    request.time_left = core::millis(9);
+    request.statements = {{upstream::verb::add, "k", "", 3}};
+    const auto read = peer::decode_request(peer::encode(request));
+    LONGS_EQUAL(7, read->max_age.count());
+    LONGS_EQUAL(9, read->time_left.count());
+    CHECK(read->statements == request.statements);
+    const auto reply = coordinator::failure(core::error_kind::overloaded, "x");
+    CHECK(peer::decode_reply(peer::encode(reply))->error == reply.error);
+    CHECK_FALSE(peer::decode_request("junk").has_value());
+}
+
+TEST_GROUP(peer_link)
+{
+    boost::asio::io_context io;
+    std::optional<peer::peer_server> server;
+    std::thread thread;
+    std::mutex mutex;
+    std::vector<std::pair<std::string, peer::frame_responder>> held;
+    std::atomic<int> dropped{0};
+    peer::peer_client client{io};
+
+    void setup() override
+    {
+        server = peer::peer_server::listen(
+            io, where,
+            [this](frame_kind, const std::string& payload,
+                   const peer::frame_responder& respond)
+            {
+                const std::lock_guard lock(mutex);
+                if (payload == "answer")
+                    return respond(frame_kind::reply, payload);
+                held.emplace_back(payload, respond);
+            },
+            [this] { ++dropped; });
+        CHECK(server.has_value());
+        thread = std::thread([this] { io.run(); });
+    }
+
+    void teardown() override
+    {
+        client.close();
+        server.reset();
+        io.stop();
+        thread.join();
+        held.clear();
+    }
+
+    bool wait_for(const std::function<bool()>& condition)
+    {
+        for (int i = 0; i < 500; ++i)
+        {
+            {
+                const std::lock_guard lock(mutex);
+                if (condition())
+                    return true;
+            }
+            std::this_thread::sleep_for(core::millis(5));
+        }
+        return false;
+    }
+};
+
+TEST(peer_link, answers_in_any_order_reach_their_own_calls)
+{
+    std::map<std::string, std::string> got;
+    for (const char* text : {"one", "two", "three"})
+        client.call(where, frame_kind::request, text, core::millis(2000),
+                    [&, text](call_end, const frame& answer)
+                    {
+                        const std::lock_guard lock(mutex);
+                        got[text] = answer.payload;
+                    });
+    CHECK(wait_for([&] { return held.size() == 3; }));
+    for (auto it = held.rbegin(); it != held.rend(); ++it)
+    {
+        it->second(frame_kind::reply, "for " + it->first);
+        // A duplicate answer goes nowhere.
+        it->second(frame_kind::reply, "again " + it->first);
+    }
+    CHECK(wait_for([&] { return got.size() == 3; }));
+    STRCMP_EQUAL("for one", got["one"].c_str());
+    STRCMP_EQUAL("for three", got["three"].c_str());
+}
+
+TEST(peer_link, a_late_answer_goes_nowhere)
+{
+    std::vector<std::pair<call_end, std::string>> got;
+    const auto record = [&](call_end end, const frame& answer)
+    {
+        const std::lock_guard lock(mutex);
+        got.emplace_back(end, answer.payload);
+    };
+    client.call(where, frame_kind::request, "slow", core::millis(50), record);
+    CHECK(wait_for([&] { return got.size() == 1; }));
+    CHECK(got[0].first == call_end::lost);
+    held[0].second(frame_kind::reply, "too late");
+    client.call(where, frame_kind::request, "answer", core::millis(2000),
+                record);
+    CHECK(wait_for([&] { return got.size() == 2; }));
+    STRCMP_EQUAL("answer", got[1].second.c_str());
+}
+
+TEST(peer_link, a_call_to_nobody_was_not_sent)
+{
+    std::optional<call_end> got;
+    client.call({"127.0.0.1", 17899}, frame_kind::request, "x",
+                core::millis(1000),
+                [&](call_end end, const frame&)
+                {
+                    const std::lock_guard lock(mutex);
+                    got = end;
+                });
+    CHECK(wait_for([&] { return got.has_value(); }));
+    CHECK(got == call_end::not_sent);
+}
+
+TEST(peer_link, malformed_frames_are_counted_and_end_the_link)
+{
+    support::raw_client raw(where);
+    raw.send("\x01\x00\x00\x00\x09");
+    raw.read_to_end();
+    CHECK(wait_for([&] { return dropped == 1; }));
+}
--- /dev/null
+++ b/tests/platform/platform_tests.cpp
@@ -0,0 +1,160 @@
+#include <platform/platform_server.hpp>
+#include <platform/platform_state.hpp>
+
+#include <plantainward/http/server.hpp>
+#include <plantainward/platform/http_platform.hpp>
+#include <plantainward/platform/wire.hpp>
+
+#include <functional>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace plantainward;
+using platform::platform_end;
+
+namespace
+{
+
+const core::address where{"127.0.0.1", 17804};
+
+/// What every table service, object store and host list must do.
+template <class Platform>
+class platform_contract
+{
+public:
+    platform_contract(Platform& services,
+                      std::function<void(const std::function<bool()>&)> wait)
+        : m_services(services), m_wait(std::move(wait))
+    {
+    }
+
+    platform::reply<platform::table_row> read(const char* name)
+    {
+        return get<platform::table_row>(
+            [&](auto handler) { m_services.read_row(name, handler); });
+    }
+
+    platform::reply<platform::table_row>
+    write(const char* name, std::uint64_t expected, const char* value)
+    {
+        return get<platform::table_row>(
+            [&](auto handler)
+            { m_services.compare_and_set(name, expected, value, handler); });
+    }
+
+    void check_all()
+    {
+        CHECK(read("row").end == platform_end::not_found);
+        CHECK(write("row", 0, "a").value.version == 1);
+        CHECK(write("row", 0, "b").end == platform_end::conflict);
+        CHECK(write("row", 1, "c").value.version == 2);
+        CHECK(read("row").value.value == "c");
+        const auto put = get<std::string>(
+            [&](auto handler)
+            { m_services.put_object("key", "body \"x\"\n", handler); });
+        CHECK(put.end == platform_end::ok);
+        const auto got = get<std::string>(
+            [&](auto handler) { m_services.get_object("key", handler); });
+        STRCMP_EQUAL("body \"x\"\n", got.value.c_str());
+        const auto none = get<std::string>(
+            [&](auto handler) { m_services.get_object("none", handler); });
+        CHECK(none.end == platform_end::not_found);
+        const auto hosts = get<platform::listed_hosts>(
+            [&](auto handler) { m_services.list_hosts(handler); });
+        CHECK(hosts.end == platform_end::ok);
+    }
+
+private:
+    template <class T, class Call>
+    platform::reply<T> get(Call call)
+    {
+        std::optional<platform::reply<T>> got;
+        call([&](platform::reply<T> reply) { got = std::move(reply); });
+        m_wait([&] { return got.has_value(); });
+        return *got;
+    }
+
+    Platform& m_services;
+    std::function<void(const std::function<bool()>&)> m_wait;
+};
+
+} // namespace
+
+TEST_GROUP(platform){};
+
+TEST(platform, the_in_memory_platform_keeps_the_contract)
+{
+    standin::platform_state state;
+    platform_contract(state, [](const auto&) {}).check_all();
+}
+
+TEST_GROUP(http_platform)
+{
+    boost::asio::io_context io;
+    standin::platform_server state;
+    std::optional<http::server> server;
+    platform::http_platform services{io, where, core::millis(300)};
+
+    void setup() override
+    {
+        server = http::server::listen(where, {}, io,
+                                      [this](http::connection_id,
+                                             const http::request& message,
+                                             const http::responder& respond)
+                                      { state.handle(message, respond); });
+        CHECK(server.has_value());
+    }
+
+    void teardown() override
+    {
+        server.reset();
+    }
+
+    platform_contract<platform::http_platform> make_contract()
+    {
+        return {services, [this](const std::function<bool()>& condition)
+                {
+                    while (!condition())
+                        io.run_one_for(core::millis(10));
+                }};
+    }
+
+    void set_faults(const char* body)
+    {
+        state.handle({"POST", "/faults", {}, body},
+                     [](const http::response&) {});
+    }
+};
+
+TEST(http_platform, the_http_platform_with_its_stand_in_keeps_the_contract)
+{
+    make_contract().check_all();
+}
+
+TEST(http_platform, a_write_whose_answer_is_lost_is_unknown_and_has_effect)
+{
+    auto contract = make_contract();
+    set_faults(R"({"drop_answers":1})");
+    CHECK(contract.write("row", 0, "a").end == platform_end::unknown);
+    CHECK(contract.read("row").value.value == "a");
+}
+
+TEST(http_platform, an_outage_is_seen_as_unknown_or_down)
+{
+    auto contract = make_contract();
+    set_faults(R"({"hung":true})");
+    CHECK(contract.read("row").end == platform_end::unknown);
+    server.reset();
+    CHECK(contract.read("row").end == platform_end::down);
+}
+
+TEST_GROUP(platform_wire){};
+
+TEST(platform_wire, malformed_answers_are_refused)
+{
+    for (const char* text : {"", "[]", "{}", R"({"value":1,"version":2})"})
+    {
+        CHECK_FALSE(platform::wire::decode_row(text).has_value());
+        CHECK_FALSE(platform::wire::decode_hosts(text).has_value());
+    }
+}
--- /dev/null
+++ b/tests/support/raw_client.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <plantainward/core/host.hpp>
+
+#include <string>
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+
+namespace support
+{
+
+/// A socket that sends any bytes and reads what comes back.
+class raw_client
+{
+public:
+    explicit raw_client(const plantainward::core::address& where)
+        : m_socket(m_io)
+    {
+        m_socket.connect({boost::asio::ip::make_address(where.ip), where.port});
+    }
+
+    void send(const std::string& bytes)
+    {
+        boost::system::error_code ignored;
+        boost::asio::write(m_socket, boost::asio::buffer(bytes), ignored);
+    }
+
+    /// Reads until a text has arrived or the connection ends.
+    std::string read_until(const std::string& end)
+    {
+        while (m_text.find(end) == std::string::npos && read_some())
+        {
+        }
+        return m_text;
+    }
+
+    std::string read_to_end()
+    {
+        while (read_some())
+        {
+        }
+        return m_text;
+    }
+
+private:
+    bool read_some()
+    {
+        char buffer[65'536];
+        boost::system::error_code error;
+        const auto size =
+            m_socket.read_some(boost::asio::buffer(buffer), error);
+        m_text.append(buffer, size);
+        return !error;
+    }
+
+    boost::asio::io_context m_io;
+    boost::asio::ip::tcp::socket m_socket;
+    std::string m_text;
+};
+
+} // namespace support
--- a/tests/support/world.cpp
+++ b/tests/support/world.cpp
@@ -140,6 +140,7 @@
     one.monitor =
         std::make_unique<failover::failover_monitor>(m_layout, timing, m_now);
     std::vector<std::string> names;
+    names.reserve(m_hosts.size());
     for (int i = 0; i < m_options.hosts; ++i)
         names.push_back(host_named(i).name);
     one.monitor->set_watchers(names, host_named(host).name);
@@ -546,6 +547,7 @@
                  reply_handler handler)
 {
     std::vector<core::host> ranked;
+    ranked.reserve(m_hosts.size());
     for (int i = 0; i < m_options.hosts; ++i)
         ranked.push_back(host_named((gateway + i) % m_options.hosts));
     std::optional<core::host> owner;
--- /dev/null
+++ b/tests/upstream/gate_contract.hpp
@@ -0,0 +1,192 @@
+#pragma once
+
+#include <plantainward/upstream/gate.hpp>
+
+#include <functional>
+#include <optional>
+
+#include <CppUTest/TestHarness.h>
+
+/// What every gate must do, whatever is behind it.
+namespace contract
+{
+
+namespace core = plantainward::core;
+namespace upstream = plantainward::upstream;
+
+/// A gate under test with the way to wait for its answers.
+template <upstream::gate Gate>
+class gate_contract
+{
+public:
+    gate_contract(Gate& gate, core::address where,
+                  std::function<void(const std::function<bool()>&)> wait)
+        : m_gate(gate), m_where(std::move(where)), m_wait(std::move(wait))
+    {
+    }
+
+    upstream::open_end open(upstream::connection_number number)
+    {
+        std::optional<upstream::open_end> got;
+        m_gate.open(m_where, number, core::millis(2000),
+                    [&](upstream::open_end end) { got = end; });
+        m_wait([&] { return got.has_value(); });
+        return *got;
+    }
+
+    upstream::run_result run(upstream::connection_number number,
+                             const upstream::run_order& order)
+    {
+        std::optional<upstream::run_result> got;
+        m_gate.run(number, order, core::millis(500),
+                   [&](upstream::run_result end) { got = std::move(end); });
+        m_wait([&] { return got.has_value(); });
+        return *got;
+    }
+
+    upstream::control_result control(const upstream::control_order& order)
+    {
+        std::optional<upstream::control_result> got;
+        m_gate.control(m_where, order, core::millis(2000),
+                       [&](upstream::control_result end)
+                       { got = std::move(end); });
+        m_wait([&] { return got.has_value(); });
+        return *got;
+    }
+
+    /// Checks all rules; the database is new and has a limit of 3.
+    void check_all()
+    {
+        check_terms();
+        check_statements();
+        check_ids();
+        check_transactions();
+        check_limit();
+    }
+
+private:
+    static upstream::run_order order(upstream::term_number term,
+                                     upstream::verb what, const char* key,
+                                     const char* value, const char* id = "")
+    {
+        upstream::run_order made;
+        made.term = term;
+        made.id = id;
+        made.digest = std::string(key) + value;
+        made.statements = {{what, key, value, 1}};
+        return made;
+    }
+
+    static upstream::control_order claim(upstream::control_kind kind,
+                                         upstream::term_number term,
+                                         const char* claimant)
+    {
+        upstream::control_order made;
+        made.kind = kind;
+        made.term = term;
+        made.claimant = claimant;
+        return made;
+    }
+
+    bool accepts(upstream::control_kind kind, upstream::term_number term,
+                 const char* claimant)
+    {
+        return control(claim(kind, term, claimant)).end ==
+               upstream::control_end::accepted;
+    }
+
+    void check_terms()
+    {
+        using upstream::control_kind;
+        CHECK(!accepts(control_kind::promote, 5, "a"));
+        CHECK(accepts(control_kind::grant, 5, "a"));
+        // A term is granted to one claimant, who may ask again.
+        CHECK(accepts(control_kind::grant, 5, "a"));
+        CHECK(!accepts(control_kind::grant, 5, "b"));
+        CHECK(!accepts(control_kind::grant, 4, "c"));
+        CHECK(!accepts(control_kind::promote, 5, "b"));
+        CHECK(accepts(control_kind::promote, 5, "a"));
+        const auto status = control({}).status.at(0);
+        CHECK(status.acting == upstream::role::primary);
+        // The first entry of the term is the primary's own.
+        CHECK(status.last == upstream::log_point(5, 1));
+    }
+
+    void check_statements()
+    {
+        using upstream::verb;
+        CHECK(open(1) == upstream::open_end::opened);
+        CHECK(run(1, order(5, verb::put, "k", "v")).end ==
+              upstream::run_end::answered);
+        const auto read = run(1, order(5, verb::get, "k", ""));
+        STRCMP_EQUAL("v", read.answer.results[0].rows[0].value.c_str());
+        const auto taken = run(1, order(5, verb::put_if_absent, "k", "w"));
+        CHECK(taken.end == upstream::run_end::refused);
+        CHECK(taken.refusal == core::error_kind::statement_failed);
+        for (const upstream::term_number term : {4, 6})
+            CHECK(run(1, order(term, verb::put, "k", "x")).refusal ==
+                  core::error_kind::wrong_term);
+        auto ahead = order(5, verb::get, "k", "");
+        ahead.at_least = {5, 1000};
+        CHECK(run(1, ahead).refusal == core::error_kind::too_stale);
+    }
+
+    void check_ids()
+    {
+        using upstream::verb;
+        const auto first = run(1, order(5, verb::add, "n", "", "id-1"));
+        const auto again = run(1, order(5, verb::add, "n", "", "id-1"));
+        CHECK(!first.answer.replayed && again.answer.replayed);
+        STRCMP_EQUAL("1", again.answer.results[0].rows[0].value.c_str());
+        CHECK(run(1, order(5, verb::add, "other", "", "id-1")).refusal ==
+              core::error_kind::id_reused);
+        auto settle = order(5, verb::get, "n", "", "id-2");
+        settle.kind = upstream::run_kind::settle;
+        CHECK(run(1, settle).answer.voided);
+        CHECK(run(1, order(5, verb::get, "n", "", "id-2")).answer.voided);
+        settle.id = "id-1";
+        settle.digest.clear();
+        CHECK(run(1, settle).answer.replayed);
+    }
+
+    void check_transactions()
+    {
+        using upstream::run_kind;
+        using upstream::verb;
+        auto step = order(5, verb::put, "t", "1");
+        step.kind = run_kind::begin;
+        CHECK(run(1, step).answer.in_transaction);
+        step.kind = run_kind::execute;
+        CHECK(run(1, step).answer.in_transaction);
+        CHECK(run(1, order(5, verb::get, "t", "")).end ==
+              upstream::run_end::refused);
+        CHECK(open(2) == upstream::open_end::opened);
+        CHECK(run(2, order(5, verb::get, "t", ""))
+                  .answer.results[0]
+                  .rows.empty());
+        step.kind = run_kind::commit;
+        const auto end = run(1, step);
+        CHECK(end.end == upstream::run_end::answered);
+        CHECK(!end.answer.in_transaction);
+        CHECK(run(1, step).refusal == core::error_kind::transaction_lost);
+        // A close ends the transaction that is open.
+        step.kind = run_kind::begin;
+        run(2, step);
+        m_gate.close(2);
+        CHECK(run(2, step).end == upstream::run_end::not_sent);
+    }
+
+    void check_limit()
+    {
+        std::size_t opened = 0;
+        for (upstream::connection_number i = 10; i < 14; ++i)
+            opened += open(i) == upstream::open_end::opened ? 1 : 0;
+        CHECK(opened <= 2);
+    }
+
+    Gate& m_gate;
+    core::address m_where;
+    std::function<void(const std::function<bool()>&)> m_wait;
+};
+
+} // namespace contract
