--- a/src/plantainward/coordinator/connection_pool.cpp
+++ b/src/plantainward/coordinator/connection_pool.cpp
@@ -40,6 +40,7 @@
     if (end == upstream::open_end::opened)
     {
         m_failures = 0;
+        m_refused_by_limit = false;
         m_idle.push_back(number);
         return;
     }
@@ -48,6 +49,15 @@
     m_not_before =
         now + std::min(m_limits.longest_backoff, core::millis(doubled));
     ++m_failures;
+    m_refused_by_limit = end == upstream::open_end::refused_by_limit;
+}
+
+void connection_pool::database_answers()
+{
+    if (m_refused_by_limit)
+        return;
+    m_failures = 0;
+    m_not_before = {};
 }
 
 bool connection_pool::give_back(upstream::connection_number number)
--- a/src/plantainward/coordinator/connection_pool.hpp
+++ b/src/plantainward/coordinator/connection_pool.hpp
@@ -48,6 +48,9 @@
     void opened(upstream::connection_number number, upstream::open_end end,
                 core::instant now);
 
+    /// The database has answered on another way, so a new try is worth while.
+    void database_answers();
+
     /// A taken connection is idle again. False when it is over the share or
     /// the pool is closing, and must be closed.
     bool give_back(upstream::connection_number number);
@@ -70,7 +73,10 @@
     std::vector<upstream::connection_number> m_idle;
     std::unordered_set<upstream::connection_number> m_taken;
     std::unordered_set<upstream::connection_number> m_opening;
+    /// Openings that failed in a row, and whether the last one was refused by
+    /// the database's limit.
     std::size_t m_failures{0};
+    bool m_refused_by_limit{false};
     core::instant m_not_before;
 };
 
--- a/src/plantainward/coordinator/poll_planner.cpp
+++ b/src/plantainward/coordinator/poll_planner.cpp
@@ -26,6 +26,14 @@
         wanted && wanted->term == point.term ? std::min(*wanted, point) : point;
 }
 
+void poll_planner::forget_waits(int slot)
+{
+    const auto index = static_cast<std::size_t>(slot);
+    m_points[index].reset();
+    for (auto& one : m_databases)
+        one.wait_under_way[index] = false;
+}
+
 void poll_planner::finished(std::size_t database, int slot)
 {
     auto& one = m_databases.at(database);
--- a/src/plantainward/coordinator/poll_planner.hpp
+++ b/src/plantainward/coordinator/poll_planner.hpp
@@ -40,6 +40,9 @@
     /// Requests wait for this log point on the replicas of a slot.
     void want_point(int slot, const upstream::log_point& point);
 
+    /// The waits under way on a slot are for points of an ended term.
+    void forget_waits(int slot);
+
     /// A poll has ended.
     void finished(std::size_t database, int slot);
 
--- a/src/plantainward/coordinator/service_coordinator.cpp
+++ b/src/plantainward/coordinator/service_coordinator.cpp
@@ -106,6 +106,7 @@
 actions service_coordinator::submit(request_number number,
                                     caller_request request, core::instant now)
 {
+    m_last_request = now;
     const bool starts_work = !is_in_transaction(request);
     if (request.slot < 0 || request.slot >= m_layout.slots)
     {
@@ -705,6 +706,8 @@
                                        const upstream::database_status& status,
                                        core::instant sent_at, core::instant now)
 {
+    if (!status.empty())
+        m_pools[database].database_answers();
     for (const auto& one : status)
     {
         if (one.slot < 0 || one.slot >= m_layout.slots)
@@ -722,6 +725,7 @@
     note(event_kind::term_seen, static_cast<int>(slot), {},
          "term " + std::to_string(view.term()) + " at " +
              m_layout.databases[*view.primary()].name);
+    m_planner.forget_waits(static_cast<int>(slot));
     const auto ended = m_transactions.handles_of(
         [&](const auto& one) {
             return index(one.slot) == slot && one.term < view.term() &&
@@ -840,6 +844,14 @@
     }
 }
 
+actions service_coordinator::close_idle()
+{
+    for (auto& pool : m_pools)
+        for (const auto connection : pool.take_all_idle())
+            m_out.emplace_back(close_action{connection});
+    return std::exchange(m_out, {});
+}
+
 actions service_coordinator::on_tick(core::instant now)
 {
     m_recheck = true;
--- a/src/plantainward/coordinator/service_coordinator.hpp
+++ b/src/plantainward/coordinator/service_coordinator.hpp
@@ -88,9 +88,15 @@
     /// Sets this host's part of each database's connections, 0 to 1.
     void set_share(double share);
 
+    /// Closes all idle connections.
+    actions close_idle();
+
     /// Refuses new requests from now on.
     void start_drain() { m_draining = true; }
 
+    /// When a request last arrived.
+    core::instant last_request() const { return m_last_request; }
+
     /// Whether requests or transactions are unfinished.
     bool is_busy() const
     {
@@ -226,6 +232,7 @@
     upstream::connection_number m_next_connection;
     double m_share{1};
     std::size_t m_first_slot{0};
+    core::instant m_last_request;
     bool m_draining{false};
     actions m_out;
 };
--- a/src/plantainward/daemon/coordinator_shell.hpp
+++ b/src/plantainward/daemon/coordinator_shell.hpp
@@ -116,6 +116,12 @@
         m_coordinator.start_drain();
     }
 
+    /// Closes the idle connections of a coordinator that has ended.
+    void close_connections()
+    {
+        drive([](auto& coordinator) { return coordinator.close_idle(); });
+    }
+
     bool is_busy() const
     {
         const std::lock_guard lock(m_mutex);
--- a/src/plantainward/daemon/node.cpp
+++ b/src/plantainward/daemon/node.cpp
@@ -30,6 +30,7 @@
 constexpr core::millis host_list_interval{5000};
 constexpr core::millis first_host_list_interval{500};
 constexpr core::millis platform_timeout{2000};
+constexpr std::size_t datagram_overhead = 28;
 
 using platform_configuration =
     configuration<platform::http_platform, platform::http_platform>;
@@ -173,6 +174,7 @@
     std::shared_ptr<peer::datagram_socket> socket;
     boost::asio::steady_timer timer;
     core::instant last_host_list;
+    std::uint64_t counted_control_bytes{0};
     std::atomic<bool> knows_hosts{false};
     std::atomic<bool> draining{false};
     core::instant drain_started;
@@ -216,6 +218,8 @@
 
 void node::impl::on_datagram(std::string_view bytes)
 {
+    numbers.count("control_bytes", "membership",
+                  bytes.size() + datagram_overhead);
     const auto message = datagrams.decode(bytes);
     if (!message)
         return numbers.count("dropped_datagrams", core::last_reason().text);
@@ -240,7 +244,8 @@
     if (const auto* send = std::get_if<membership::send_action>(&action))
     {
         const auto bytes = datagrams.encode(send->what);
-        numbers.count("control_bytes_sent", "membership", bytes.size());
+        numbers.count("control_bytes", "membership",
+                      bytes.size() + datagram_overhead);
         socket->send(send->where, bytes);
     }
     else if (const auto* fetch = std::get_if<membership::fetch_action>(&action))
@@ -353,6 +358,9 @@
         read_host_list();
     }
     drive_members([&] { return members.on_tick(now); });
+    const auto control = gate.control_bytes();
+    numbers.count("control_bytes", "databases",
+                  control - std::exchange(counted_control_bytes, control));
     config->tick(now, services.routes()->hosts());
     services.tick();
     check_drain();
--- a/src/plantainward/daemon/service_directory.cpp
+++ b/src/plantainward/daemon/service_directory.cpp
@@ -14,6 +14,7 @@
 
 /// Part of a database's connections for the host that coordinates, and for
 /// one that only believes so; together they stay within the limit.
+constexpr core::millis unused_time{10'000};
 constexpr double first_share = 0.7;
 constexpr double other_share = 0.3;
 
@@ -112,6 +113,7 @@
     {
         const lock_type lock(m_mutex);
         m_routes = std::move(routes);
+        m_routes_since = core::steady::now();
     }
     apply_routes();
 }
@@ -226,14 +228,53 @@
     return m_coordinators;
 }
 
+bool service_directory::is_first(const std::string& service) const
+{
+    const auto* route = m_routes->find(service);
+    return route != nullptr && !route->ranked.empty() &&
+           route->ranked.front().name == m_host;
+}
+
+// A coordinator that stood in for another host ends when it is not needed.
+void service_directory::retire_unused()
+{
+    const auto now = core::steady::now();
+    for (auto it = m_coordinators.begin(); it != m_coordinators.end();)
+    {
+        const bool is_unused = it->second->read(
+            [&](const auto& coordinator)
+            {
+                return !coordinator.is_busy() &&
+                       now - std::max(coordinator.last_request(),
+                                      m_routes_since) >
+                           unused_time;
+            });
+        if (!is_unused || is_first(it->first))
+        {
+            ++it;
+            continue;
+        }
+        it->second->start_drain();
+        m_retiring.push_back(it->second);
+        it = m_coordinators.erase(it);
+    }
+}
+
 void service_directory::tick()
 {
     std::vector<coordinator_ptr> coordinators;
     std::vector<monitor_ptr> monitors;
     {
         const lock_type lock(m_mutex);
+        retire_unused();
         std::erase_if(m_retiring,
-                      [](const auto& one) { return !one->is_busy(); });
+                      [](const auto& one)
+                      {
+                          if (one->is_busy())
+                              return false;
+                          one->close_connections();
+                          return true;
+                      });
         coordinators = m_retiring;
         for (const auto& [name, one] : m_coordinators)
             coordinators.push_back(one);
--- a/src/plantainward/daemon/service_directory.hpp
+++ b/src/plantainward/daemon/service_directory.hpp
@@ -67,6 +67,8 @@
     coordinator_ptr make_coordinator(const service_route& route);
     monitor_ptr make_monitor(const service_route& route);
     double share_of(const service_route& route) const;
+    bool is_first(const std::string& service) const;
+    void retire_unused();
     void update_service(const service_route& route);
     void apply_routes();
 
@@ -80,6 +82,7 @@
     mutable std::mutex m_mutex;
     std::shared_ptr<const routing_table> m_routes{
         std::make_shared<const routing_table>()};
+    core::instant m_routes_since;
     std::set<core::address> m_leaving;
     std::map<std::string, coordinator_ptr> m_coordinators;
     std::map<std::string, monitor_ptr> m_monitors;
--- a/src/plantainward/failover/failover_options.hpp
+++ b/src/plantainward/failover/failover_options.hpp
@@ -21,7 +21,7 @@
     core::millis silence{400};
     /// Time without contact between a live primary and every replica after
     /// which the primary counts as cut off.
-    core::millis isolation{500};
+    core::millis isolation{400};
     /// Time without a primary before one is elected.
     core::millis vacancy{150};
     /// Age at which another watcher's opinion is forgotten.
--- a/src/plantainward/http/client.cpp
+++ b/src/plantainward/http/client.cpp
@@ -5,6 +5,8 @@
 #include <mutex>
 #include <utility>
 
+#include <sys/socket.h>
+
 #include <boost/asio/strand.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -25,7 +27,6 @@
 using boost::system::error_code;
 
 constexpr std::size_t max_answer_bytes = std::size_t{64} * 1024 * 1024;
-constexpr std::size_t max_kept_per_server = 8;
 
 class tcp_client_connection final : public client_connection
 {
@@ -87,6 +88,8 @@
     void start_exchange(request message, core::millis timeout,
                         exchange_handler handler)
     {
+        if (m_open && is_closed_by_server())
+            shut();
         if (!m_open)
             return handler({exchange_end::not_sent, 0, {}});
         m_handler = std::move(handler);
@@ -106,6 +109,15 @@
             { on_written(error, n); });
     }
 
+    // What is written on a connection that the server has closed may be lost
+    // without a trace, so the end of the stream is looked for first.
+    bool is_closed_by_server()
+    {
+        char byte = 0;
+        return ::recv(m_stream.socket().native_handle(), &byte, 1,
+                      MSG_PEEK | MSG_DONTWAIT) == 0;
+    }
+
     void on_written(error_code error, std::size_t written)
     {
         if (error)
@@ -127,8 +139,12 @@
             shut();
         else
             m_stream.expires_never();
-        finish({exchange_end::answered, static_cast<int>(message.result_int()),
-                std::move(message.body())});
+        exchange_result result{exchange_end::answered,
+                               static_cast<int>(message.result_int()),
+                               std::move(message.body())};
+        for (const auto& one : message)
+            result.fields.emplace_back(one.name_string(), one.value());
+        finish(std::move(result));
     }
 
     void finish_failed(error_code error, bool may_have_arrived)
@@ -167,7 +183,10 @@
 class keeping_client final : public client
 {
 public:
-    explicit keeping_client(asio::io_context& io) : m_io(io) {}
+    keeping_client(asio::io_context& io, std::size_t most_kept)
+        : m_io(io), m_most_kept(most_kept)
+    {
+    }
 
     void send(const core::address& where, request message, core::millis timeout,
               exchange_handler handler) override
@@ -196,7 +215,7 @@
     {
         const std::lock_guard lock(m_mutex);
         auto& kept = m_kept[where];
-        if (kept.size() < max_kept_per_server)
+        if (kept.size() < m_most_kept)
             return kept.push_back(std::move(one));
         one->close();
     }
@@ -240,6 +259,7 @@
     }
 
     asio::io_context& m_io;
+    std::size_t m_most_kept;
     std::mutex m_mutex;
     std::map<core::address, std::vector<connection>> m_kept;
 };
@@ -252,9 +272,10 @@
     return std::make_shared<tcp_client_connection>(io, where);
 }
 
-std::shared_ptr<client> client::create(asio::io_context& io)
+std::shared_ptr<client> client::create(asio::io_context& io,
+                                       std::size_t most_kept)
 {
-    return std::make_shared<keeping_client>(io);
+    return std::make_shared<keeping_client>(io, most_kept);
 }
 
 exchange_result send_and_wait(const core::address& where, request message,
--- a/src/plantainward/http/client.hpp
+++ b/src/plantainward/http/client.hpp
@@ -33,6 +33,7 @@
     exchange_end end{exchange_end::not_sent};
     int status{0};
     std::string body;
+    std::vector<field> fields{};
 };
 
 /// Receives the end of one exchange.
@@ -67,7 +68,9 @@
 class client : public std::enable_shared_from_this<client>
 {
 public:
-    static std::shared_ptr<client> create(boost::asio::io_context& io);
+    /// Keeps up to this many idle connections to each server.
+    static std::shared_ptr<client> create(boost::asio::io_context& io,
+                                          std::size_t most_kept = 8);
 
     virtual ~client() = default;
 
--- a/src/plantainward/http/internal/server_connection.cpp
+++ b/src/plantainward/http/internal/server_connection.cpp
@@ -130,8 +130,8 @@
         return std::nullopt;
     }
     auto message = m_parser->release();
-    const bool keep = message.keep_alive() && !m_state->closing;
-    m_pending.push_back({std::nullopt, keep, message.version() == 10});
+    m_pending.push_back(
+        {std::nullopt, message.keep_alive(), message.version() == 10});
     m_state->pending.fetch_add(1);
     m_request_start.reset();
     m_reading = message.keep_alive();
@@ -178,8 +178,8 @@
     while (!m_pending.empty() && m_pending.front().answer)
     {
         const auto& front = m_pending.front();
-        m_output += serialize(*front.answer, front.keep_alive, front.http_1_0);
-        const bool last = !front.keep_alive;
+        const bool last = !front.keep_alive || m_state->closing;
+        m_output += serialize(*front.answer, !last, front.http_1_0);
         m_pending.pop_front();
         ++m_first_number;
         m_state->pending.fetch_sub(1);
@@ -255,13 +255,4 @@
         shut_down();
 }
 
-void server_connection::close_when_idle()
-{
-    const std::lock_guard lock(m_mutex);
-    for (auto& one : m_pending)
-        one.keep_alive = one.keep_alive && &one != &m_pending.back();
-    if (m_open && m_pending.empty() && !m_write_active && !m_request_start)
-        shut_down();
-}
-
 } // namespace plantainward::http::internal
--- a/src/plantainward/http/internal/server_connection.hpp
+++ b/src/plantainward/http/internal/server_connection.hpp
@@ -44,9 +44,6 @@
     /// Enforces the timeouts.
     void check_time(core::instant now);
 
-    /// Closes the connection when nothing is pending on it.
-    void close_when_idle();
-
 private:
     using parser =
         boost::beast::http::request_parser<boost::beast::http::string_body>;
--- a/src/plantainward/http/server.cpp
+++ b/src/plantainward/http/server.cpp
@@ -200,8 +200,6 @@
 void server::close_after_responses()
 {
     m_impl->state->closing = true;
-    for (const auto& one : m_impl->connections->all())
-        one->close_when_idle();
 }
 
 std::size_t server::pending_requests() const
--- a/src/plantainward/http/server.hpp
+++ b/src/plantainward/http/server.hpp
@@ -63,7 +63,8 @@
     server& operator=(const server&) = delete;
     ~server();
 
-    /// Closes each connection after the response to its current request.
+    /// Says "close" in each further response and closes after it. An idle
+    /// connection stays, since a request may be on its way on it.
     void close_after_responses();
 
     /// Requests that have arrived and are not yet answered.
--- a/src/plantainward/upstream/http_gate.cpp
+++ b/src/plantainward/upstream/http_gate.cpp
@@ -12,6 +12,9 @@
 
 constexpr int status_ok = 200;
 
+/// Header and packet bytes of one exchange, both ways.
+constexpr std::uint64_t exchange_overhead = 400;
+
 http::request post(std::string target, std::string body)
 {
     return {"POST", std::move(target), {}, std::move(body)};
@@ -121,10 +124,15 @@
                         const control_order& order, core::millis timeout,
                         control_handler handler)
 {
-    m_control->send(
-        database, post("/control", wire::encode(order)), timeout,
-        [handler = std::move(handler)](const http::exchange_result& exchange)
-        { handler(to_control_result(exchange)); });
+    auto body = wire::encode(order);
+    m_control_bytes += exchange_overhead + body.size();
+    m_control->send(database, post("/control", std::move(body)), timeout,
+                    [this, handler = std::move(handler)](
+                        const http::exchange_result& exchange)
+                    {
+                        m_control_bytes += exchange.body.size();
+                        handler(to_control_result(exchange));
+                    });
 }
 
 } // namespace plantainward::upstream
--- a/src/plantainward/upstream/http_gate.hpp
+++ b/src/plantainward/upstream/http_gate.hpp
@@ -3,6 +3,8 @@
 #include <plantainward/http/client.hpp>
 #include <plantainward/upstream/gate.hpp>
 
+#include <atomic>
+#include <cstdint>
 #include <memory>
 #include <mutex>
 #include <unordered_map>
@@ -33,6 +35,10 @@
     void control(const core::address& database, const control_order& order,
                  core::millis timeout, control_handler handler);
 
+    /// Bytes of the control orders and their answers so far, both ways, with
+    /// an estimate for headers and packets.
+    std::uint64_t control_bytes() const { return m_control_bytes; }
+
 private:
     using connection = std::shared_ptr<http::client_connection>;
 
@@ -40,6 +46,7 @@
 
     boost::asio::io_context& m_io;
     std::shared_ptr<http::client> m_control;
+    std::atomic<std::uint64_t> m_control_bytes{0};
     mutable std::mutex m_mutex;
     std::unordered_map<connection_number, connection> m_connections;
 };
--- a/standins/database/database_server.cpp
+++ b/standins/database/database_server.cpp
@@ -109,6 +109,7 @@
         return respond(error(400));
     std::unique_lock lock(m_mutex);
     const auto result = m_database.run(from, *order);
+    ++m_orders_run;
     on_log_change();
     const bool drops =
         m_faults.drop_answers > 0 && result.end == upstream::run_end::answered;
@@ -366,6 +367,7 @@
 {
     const std::lock_guard lock(m_mutex);
     json::array logs;
+    json::array data;
     for (int slot = 0; slot < m_database.slots(); ++slot)
     {
         json::array ids;
@@ -375,11 +377,18 @@
                 ids.push_back(json::string(entry.id));
         }
         logs.push_back(std::move(ids));
+        json::object values;
+        for (const auto& entry : m_database.member(slot).log())
+            for (const auto& [key, value] : entry.writes)
+                values[key] = value.value_or("");
+        data.push_back(std::move(values));
     }
     respond({200, json::serialize(json::object{
                       {"sessions", m_database.sessions()},
                       {"most_sessions", m_database.most_sessions()},
-                      {"ids", std::move(logs)}})});
+                      {"orders_run", m_orders_run},
+                      {"ids", std::move(logs)},
+                      {"data", std::move(data)}})});
 }
 
 } // namespace standin
--- a/standins/database/database_server.hpp
+++ b/standins/database/database_server.hpp
@@ -98,6 +98,7 @@
     std::vector<std::uint64_t> m_generations;
     std::vector<core::instant> m_contacts;
     bool m_sweep_scheduled{false};
+    std::uint64_t m_orders_run{0};
 };
 
 } // namespace standin
--- a/tests/coordinator/limits_tests.cpp
+++ b/tests/coordinator/limits_tests.cpp
@@ -173,3 +173,16 @@
     CHECK(!fleet.ask(0, request).error);
     CHECK(fleet.now() - start < core::millis(150));
 }
+
+TEST(connection_pool, an_answer_of_the_database_ends_the_wait)
+{
+    connection_pool pool(limits);
+    pool.opening(1);
+    pool.opened(1, upstream::open_end::failed, now);
+    pool.database_answers();
+    CHECK(pool.should_open(1, now));
+    pool.opening(2);
+    pool.opened(2, upstream::open_end::refused_by_limit, now);
+    pool.database_answers();
+    CHECK_FALSE(pool.should_open(1, now));
+}
--- a/tests/failover/failover_tests.cpp
+++ b/tests/failover/failover_tests.cpp
@@ -189,3 +189,19 @@
           fleet.database(*fleet.primary()).member(0).status().last);
     STRCMP_EQUAL("", value_of(fleet.ask(0, get("tail"))).c_str());
 }
+
+TEST(failover, a_database_that_came_back_is_used_at_once_when_it_is_promoted)
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed)
+    {
+        auto fleet = three_hosts(seed);
+        const int first = *fleet.primary();
+        fleet.kill_database(first);
+        CHECK(gap_after(fleet) <= core::millis(500));
+        fleet.run_for(core::millis(3000));
+        fleet.restart_database(first);
+        fleet.run_for(core::millis(300));
+        fleet.kill_database(*fleet.primary());
+        CHECK(gap_after(fleet) <= core::millis(200));
+    }
+}
--- a/tests/settings/settings_tests.cpp
+++ b/tests/settings/settings_tests.cpp
@@ -70,7 +70,8 @@
         return name == "PLANTAINWARD_THREADS" ? std::optional<std::string>("9")
                                               : std::nullopt;
     };
-    LONGS_EQUAL(9, settings_type::create(required, variable)->number("threads"));
+    LONGS_EQUAL(9,
+                settings_type::create(required, variable)->number("threads"));
     LONGS_EQUAL(7, settings_type::create(with({"--threads", "7"}), variable)
                        ->number("threads"));
 }
@@ -79,7 +80,8 @@
 {
     for (const auto& row : bad_settings)
     {
-        CHECK_FALSE(settings_type::create(with(row.flags), no_variable).has_value());
+        CHECK_FALSE(
+            settings_type::create(with(row.flags), no_variable).has_value());
         const auto& text = core::last_reason().text;
         CHECK_TEXT(text.find(row.says) != std::string::npos, text.c_str());
     }
