--- a/bench/empty_servers.cpp
+++ b/bench/empty_servers.cpp
@@ -44,8 +44,7 @@
     const auto server = http::server::listen(
         {"127.0.0.1", static_cast<std::uint16_t>(port)}, limits, io,
         [](http::connection_id, const http::request&,
-           const http::responder& respond)
-        {
+           const http::responder& respond) {
             http::response empty;
             empty.body = "{}";
             respond(std::move(empty));
--- a/bench/failover.cpp
+++ b/bench/failover.cpp
@@ -27,20 +27,18 @@
 
 const std::vector<loss> losses{
     {"kill", [](fleet& f, int d) { f.database(d).kill(); },
-     [](fleet& f, int d)
-     {
+     [](fleet& f, int d) {
          f.start_database(d);
      }},
     {"freeze", [](fleet& f, int d) { f.database(d).send(SIGSTOP); },
-     [](fleet& f, int d)
-     {
+     [](fleet& f, int d) {
          f.database(d).send(SIGCONT);
      }},
     {"cut",
-     [](fleet& f, int d)
-     { f.set_database_faults(d, R"({"cut_replication":true})"); },
-     [](fleet& f, int d)
-     {
+     [](fleet& f, int d) {
+         f.set_database_faults(d, R"({"cut_replication":true})");
+     },
+     [](fleet& f, int d) {
          f.set_database_faults(d, R"({"cut_replication":false})");
      }},
 };
@@ -51,31 +49,26 @@
     std::mutex mutex;
     std::optional<core::instant> struck;
     std::optional<core::instant> first;
-    const auto fire = [&](core::instant intended)
-    {
+    const auto fire = [&](core::instant intended) {
         call what;
         what.service = where.service(0);
         what.counter = "c" + std::to_string(load.random() % 8);
-        load.send(what, intended,
-                  [&](const call_result& end)
-                  {
-                      const std::lock_guard lock(mutex);
-                      if (!struck || !end.done || end.intended < *struck)
-                          return;
-                      if (!first || end.answered < *first)
-                          first = end.answered;
-                  });
+        load.send(what, intended, [&](const call_result& end) {
+            const std::lock_guard lock(mutex);
+            if (!struck || !end.done || end.intended < *struck)
+                return;
+            if (!first || end.answered < *first)
+                first = end.answered;
+        });
     };
-    std::thread striker(
-        [&]
+    std::thread striker([&] {
+        std::this_thread::sleep_for(before_strike);
         {
-            std::this_thread::sleep_for(before_strike);
-            {
-                const std::lock_guard lock(mutex);
-                struck = core::steady::now();
-            }
-            how.strike(where, victim);
-        });
+            const std::lock_guard lock(mutex);
+            struck = core::steady::now();
+        }
+        how.strike(where, victim);
+    });
     load.open_loop(writes_per_second, before_strike + watch_time, fire);
     striker.join();
     load.settle();
--- a/bench/fleet.cpp
+++ b/bench/fleet.cpp
@@ -172,14 +172,11 @@
     for (int i = 0; i < m_form.services * databases_per_service; ++i)
         if (!start_database(i))
             return false;
-    const bool is_up = wait_until(
-        start_timeout,
-        [this]
-        {
-            return http::send_and_wait(platform_address(),
-                                       {"GET", "/hosts", {}, {}}, call_timeout)
-                       .end == http::exchange_end::answered;
-        });
+    const bool is_up = wait_until(start_timeout, [this] {
+        return http::send_and_wait(platform_address(),
+                                   {"GET", "/hosts", {}, {}}, call_timeout)
+                   .end == http::exchange_end::answered;
+    });
     if (!is_up)
         return false;
     list_hosts({});
@@ -199,8 +196,7 @@
                 return false;
     for (int i = 0; i < proxies(); ++i)
     {
-        const auto sees_all = [&]
-        {
+        const auto sees_all = [&] {
             const auto status = http::send_and_wait(
                 admin_address(i), {"GET", "/admin/status", {}, {}},
                 call_timeout);
@@ -251,27 +247,24 @@
 
 bool fleet::wait_whole(int service, int slot, core::millis most) const
 {
-    return wait_until(
-        most,
-        [&]
+    return wait_until(most, [&] {
+        std::vector<upstream::slot_status> all;
+        for (int i = 0; i < databases_per_service; ++i)
+            if (const auto one =
+                    status(service * databases_per_service + i, slot))
+                all.push_back(*one);
+        if (all.size() != databases_per_service)
+            return false;
+        int primaries = 0;
+        for (const auto& one : all)
         {
-            std::vector<upstream::slot_status> all;
-            for (int i = 0; i < databases_per_service; ++i)
-                if (const auto one =
-                        status(service * databases_per_service + i, slot))
-                    all.push_back(*one);
-            if (all.size() != databases_per_service)
+            if (one.granted != all[0].granted || one.last != all[0].last ||
+                one.granted == 0)
                 return false;
-            int primaries = 0;
-            for (const auto& one : all)
-            {
-                if (one.granted != all[0].granted || one.last != all[0].last ||
-                    one.granted == 0)
-                    return false;
-                primaries += one.acting == upstream::role::primary ? 1 : 0;
-            }
-            return primaries == 1;
-        });
+            primaries += one.acting == upstream::role::primary ? 1 : 0;
+        }
+        return primaries == 1;
+    });
 }
 
 void fleet::set_database_faults(int database, const std::string& body) const
--- a/bench/lease_baseline.cpp
+++ b/bench/lease_baseline.cpp
@@ -123,28 +123,21 @@
     order.term = m_term;
     order.statements = {{upstream::verb::add, "baseline", "", 1}};
     const http::request run{"POST", "/run", {}, wire::encode(order)};
-    connection->open(
-        exchange_timeout,
-        [&](bool ok)
-        {
-            if (!ok)
-                return;
-            connection->exchange(
-                {"POST", "/session", {}, "{}"}, exchange_timeout,
-                [&](const http::exchange_result&)
-                {
-                    connection->exchange(
-                        run, exchange_timeout,
-                        [&](const http::exchange_result& result)
-                        {
-                            const auto end =
-                                wire::decode_run_result(result.body);
-                            done =
-                                end && end->end == upstream::run_end::answered;
-                            connection->close();
-                        });
-                });
-        });
+    connection->open(exchange_timeout, [&](bool ok) {
+        if (!ok)
+            return;
+        connection->exchange(
+            {"POST", "/session", {}, "{}"}, exchange_timeout,
+            [&](const http::exchange_result&) {
+                connection->exchange(
+                    run, exchange_timeout,
+                    [&](const http::exchange_result& result) {
+                        const auto end = wire::decode_run_result(result.body);
+                        done = end && end->end == upstream::run_end::answered;
+                        connection->close();
+                    });
+            });
+    });
     io.run();
     return done;
 }
--- a/bench/load.cpp
+++ b/bench/load.cpp
@@ -50,6 +50,13 @@
     return json::serialize(body);
 }
 
+/// Ids must be new, also for callers that follow others on the same fleet.
+std::string next_prefix()
+{
+    static std::atomic<int> count{0};
+    return "bench-" + std::to_string(++count) + "-";
+}
+
 } // namespace
 
 double percentile(std::vector<double> values, double share)
@@ -63,7 +70,8 @@
 }
 
 callers::callers(fleet& where, int threads)
-    : m_fleet(where), m_work(boost::asio::make_work_guard(m_io)),
+    : m_fleet(where), m_prefix(next_prefix()),
+      m_work(boost::asio::make_work_guard(m_io)),
       m_client(http::client::create(m_io, kept_connections)),
       m_rotation(static_cast<std::size_t>(where.proxies()), true)
 {
@@ -124,7 +132,7 @@
         const std::lock_guard lock(m_mutex);
         proxy = pick_proxy();
         one = take_session();
-        id = "bench-" + std::to_string(++m_last_id);
+        id = m_prefix + std::to_string(++m_last_id);
     }
     ++m_under_way;
     http::request message{"POST", "/v1/transactions", {}, body_of(what, id)};
@@ -136,8 +144,7 @@
         m_fleet.caller_address(proxy), std::move(message),
         what.deadline + core::millis(1000),
         [this, what, id, one, intended, sent,
-         handler = std::move(handler)](const http::exchange_result& result)
-        {
+         handler = std::move(handler)](const http::exchange_result& result) {
             finish(what, id, one, intended, sent, result, handler);
             --m_under_way;
         });
@@ -164,6 +171,8 @@
                   : outcome == "not_run" ? core::effect::not_run
                                          : core::effect::unknown;
     }
+    if (answered && !end.done)
+        end.error = std::string(body.at("error").at("kind").as_string());
     if (end.done)
     {
         end.from_replica = body.at("from_replica").as_bool();
--- a/bench/load.hpp
+++ b/bench/load.hpp
@@ -44,6 +44,8 @@
     bool from_replica{false};
     std::int64_t value{0};
     std::optional<core::effect> ran;
+    /// Kind of the error, empty when done or lost.
+    std::string error;
 };
 
 using call_handler = std::function<void(const call_result&)>;
@@ -88,6 +90,7 @@
                 const call_handler& handler);
 
     fleet& m_fleet;
+    std::string m_prefix;
     boost::asio::io_context m_io;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
         m_work;
--- a/bench/operations.cpp
+++ b/bench/operations.cpp
@@ -15,14 +15,12 @@
 double in_force_everywhere(const fleet& where, std::uint64_t revision,
                            core::instant accepted)
 {
-    wait_until(core::millis(30'000),
-               [&]
-               {
-                   for (int i = 0; i < where.proxies(); ++i)
-                       if (where.revision_at(i) < revision)
-                           return false;
-                   return true;
-               });
+    wait_until(core::millis(30'000), [&] {
+        for (int i = 0; i < where.proxies(); ++i)
+            if (where.revision_at(i) < revision)
+                return false;
+        return true;
+    });
     return core::to_ms_exact(core::steady::now() - accepted);
 }
 
@@ -108,27 +106,23 @@
             where->list_hosts({where->database_address(victim)});
         std::atomic<bool> running{true};
         double last = 0;
-        std::thread watcher(
-            [&]
+        std::thread watcher([&] {
+            auto before = orders_run(*where, victim);
+            while (running)
             {
-                auto before = orders_run(*where, victim);
-                while (running)
-                {
-                    std::this_thread::sleep_for(core::millis(20));
-                    const auto now = orders_run(*where, victim);
-                    if (now != before)
-                        last = core::to_ms_exact(core::steady::now() - start);
-                    before = now;
-                }
-            });
+                std::this_thread::sleep_for(core::millis(20));
+                const auto now = orders_run(*where, victim);
+                if (now != before)
+                    last = core::to_ms_exact(core::steady::now() - start);
+                before = now;
+            }
+        });
         std::atomic<int> failed{0};
-        load.open_loop(200, core::millis(9000),
-                       [&](core::instant intended)
-                       {
-                           load.send(any_call(*where, load), intended,
-                                     [&](const call_result& end)
-                                     { failed += end.done ? 0 : 1; });
-                       });
+        load.open_loop(200, core::millis(9000), [&](core::instant intended) {
+            load.send(
+                any_call(*where, load), intended,
+                [&](const call_result& end) { failed += end.done ? 0 : 1; });
+        });
         running = false;
         watcher.join();
         lasts.push_back(last);
@@ -163,21 +157,16 @@
     std::atomic<int> lost{0};
     std::atomic<int> failed{0};
     std::atomic<bool> running{true};
-    std::thread traffic(
-        [&]
-        {
-            while (running)
-                load.open_loop(400, core::millis(500),
-                               [&](core::instant intended)
-                               {
-                                   load.send(any_call(*where, load), intended,
-                                             [&](const call_result& end)
-                                             {
-                                                 lost += end.lost ? 1 : 0;
-                                                 failed += end.done ? 0 : 1;
-                                             });
-                               });
-        });
+    std::thread traffic([&] {
+        while (running)
+            load.open_loop(400, core::millis(500), [&](core::instant intended) {
+                load.send(any_call(*where, load), intended,
+                          [&](const call_result& end) {
+                              lost += end.lost ? 1 : 0;
+                              failed += end.done ? 0 : 1;
+                          });
+            });
+    });
     std::vector<double> times;
     int bad_exits = 0;
     for (int i = 0; i < tries; ++i)
--- a/bench/overload.cpp
+++ b/bench/overload.cpp
@@ -7,14 +7,14 @@
 namespace
 {
 
-using kind = support::counter_event::kind;
-
 /// Work of the overload: latest reads and adds of one service.
 struct goodput
 {
     std::atomic<int> in_time{0};
     std::atomic<int> late{0};
     std::atomic<int> refused{0};
+    std::mutex mutex;
+    std::map<std::string, int> errors;
 };
 
 constexpr core::millis in_time_bound{1000};
@@ -23,32 +23,41 @@
               goodput& count)
 {
     callers load(where, 3);
-    load.open_loop(per_second, duration,
-                   [&](core::instant intended)
-                   {
-                       call what;
-                       const auto roll = load.random();
-                       what.service = where.service(0);
-                       what.slot = static_cast<int>(roll % 3);
-                       what.counter = "c" + std::to_string(roll / 3 % 64);
-                       what.deadline = in_time_bound;
-                       load.send(what, intended,
-                                 [&count](const call_result& end)
-                                 {
-                                     if (!end.done)
-                                         ++count.refused;
-                                     else if (end.answered - end.intended <=
-                                              in_time_bound)
-                                         ++count.in_time;
-                                     else
-                                         ++count.late;
-                                 });
-                   });
+    load.open_loop(per_second, duration, [&](core::instant intended) {
+        call what;
+        const auto roll = load.random();
+        what.service = where.service(0);
+        what.slot = static_cast<int>(roll % 3);
+        what.counter = "c" + std::to_string(roll / 3 % 64);
+        what.deadline = in_time_bound;
+        load.send(what, intended, [&count](const call_result& end) {
+            if (!end.done)
+            {
+                ++count.refused;
+                const std::lock_guard lock(count.mutex);
+                ++count.errors[end.error];
+            }
+            else if (end.answered - end.intended <= in_time_bound)
+                ++count.in_time;
+            else
+                ++count.late;
+        });
+    });
     load.settle();
     return static_cast<double>(count.in_time) /
            std::chrono::duration<double>(duration).count();
 }
 
+/// The kinds of the refusals with their counts.
+std::string kinds_of(const goodput& count)
+{
+    std::string text;
+    for (const auto& [name, times] : count.errors)
+        text +=
+            (text.empty() ? " (" : ", ") + name + " " + std::to_string(times);
+    return text.empty() ? text : text + ")";
+}
+
 /// Goodput by load, as multiples of the capacity of the connections.
 series sweep(const options& chosen, const shape& form, const std::string& name,
              double capacity, figures& out)
@@ -67,7 +76,8 @@
         out["goodput_at_" + tag + "_per_s"] = rate;
         progress(name + " at " + tag + ": " + std::to_string(rate) +
                  " in time, " + std::to_string(count.refused.load()) +
-                 " refused, " + std::to_string(count.late.load()) + " late");
+                 " refused" + kinds_of(count) + ", " +
+                 std::to_string(count.late.load()) + " late");
     }
     return line;
 }
--- a/bench/reads.cpp
+++ b/bench/reads.cpp
@@ -50,27 +50,22 @@
 void run_mix(fleet& where, callers& load, core::millis duration,
              read_count& count)
 {
-    load.open_loop(
-        calls_per_second, duration,
-        [&](core::instant intended)
-        {
-            const auto what = pick_call(where, load);
-            const bool may =
-                what.kind == kind::aged_read || what.kind == kind::session_read;
-            load.send(what, intended,
-                      [&count, may](const call_result& end)
-                      {
-                          if (!end.done)
-                              ++count.failed;
-                          if (!may || !end.done)
-                              return;
-                          ++count.allowed;
-                          count.by_replica += end.from_replica ? 1 : 0;
-                          const std::lock_guard lock(count.mutex);
-                          count.latencies.push_back(
-                              core::to_ms_exact(end.answered - end.intended));
-                      });
+    load.open_loop(calls_per_second, duration, [&](core::instant intended) {
+        const auto what = pick_call(where, load);
+        const bool may =
+            what.kind == kind::aged_read || what.kind == kind::session_read;
+        load.send(what, intended, [&count, may](const call_result& end) {
+            if (!end.done)
+                ++count.failed;
+            if (!may || !end.done)
+                return;
+            ++count.allowed;
+            count.by_replica += end.from_replica ? 1 : 0;
+            const std::lock_guard lock(count.mutex);
+            count.latencies.push_back(
+                core::to_ms_exact(end.answered - end.intended));
         });
+    });
     load.settle();
 }
 
@@ -87,40 +82,33 @@
     const auto primary = where.primary(0, 0).value_or(0);
     const auto replica = primary == 0 ? 1 : 0;
     const auto term = where.status(primary, 0)->granted;
-    const auto connect = [&](int database)
-    {
+    const auto connect = [&](int database) {
         auto one = http::client_connection::create(
             io, where.database_address(database));
-        one->open(core::millis(1000),
-                  [&](bool)
-                  {
-                      one->exchange({"POST", "/session", {}, "{}"},
-                                    core::millis(1000),
-                                    [](const http::exchange_result&) {});
-                  });
+        one->open(core::millis(1000), [&](bool) {
+            one->exchange({"POST", "/session", {}, "{}"}, core::millis(1000),
+                          [](const http::exchange_result&) {});
+        });
         io.run();
         io.restart();
         return one;
     };
     const auto writer = connect(primary);
     const auto reader = connect(replica);
-    const auto run = [&](const auto& one, upstream::verb what)
-    {
+    const auto run = [&](const auto& one, upstream::verb what) {
         upstream::run_order order;
         order.term = term;
         order.statements = {{what, "random-replica", "", 1}};
         std::int64_t value = 0;
-        one->exchange({"POST", "/run", {}, upstream::wire::encode(order)},
-                      core::millis(1000),
-                      [&](const http::exchange_result& result)
-                      {
-                          const auto end =
-                              upstream::wire::decode_run_result(result.body);
-                          if (end && !end->answer.results.empty() &&
-                              !end->answer.results[0].rows.empty())
-                              value = std::atoll(
-                                  end->answer.results[0].rows[0].value.c_str());
-                      });
+        one->exchange(
+            {"POST", "/run", {}, upstream::wire::encode(order)},
+            core::millis(1000), [&](const http::exchange_result& result) {
+                const auto end = upstream::wire::decode_run_result(result.body);
+                if (end && !end->answer.results.empty() &&
+                    !end->answer.results[0].rows.empty())
+                    value = std::atoll(
+                        end->answer.results[0].rows[0].value.c_str());
+            });
         io.run();
         io.restart();
         return value;
--- a/bench/throughput.cpp
+++ b/bench/throughput.cpp
@@ -36,19 +36,15 @@
         const auto start = core::steady::now();
         m_end = start + duration;
         for (const auto& one : m_connections)
-            one->open(core::millis(2000),
-                      [this, one](bool ok)
-                      {
-                          if (!ok)
-                              return;
-                          if (!m_opens_session)
-                              return next(one);
-                          one->exchange(
-                              {"POST", "/session", {}, "{}"},
-                              core::millis(2000),
-                              [this, one](const http::exchange_result&)
-                              { next(one); });
-                      });
+            one->open(core::millis(2000), [this, one](bool ok) {
+                if (!ok)
+                    return;
+                if (!m_opens_session)
+                    return next(one);
+                one->exchange(
+                    {"POST", "/session", {}, "{}"}, core::millis(2000),
+                    [this, one](const http::exchange_result&) { next(one); });
+            });
         std::vector<std::thread> threads;
         for (int i = 0; i < 2; ++i)
             threads.emplace_back([this] { m_io.run(); });
@@ -68,8 +64,7 @@
         if (sent >= m_end)
             return one->close();
         one->exchange(m_message, core::millis(5000),
-                      [this, one, sent](const http::exchange_result& result)
-                      {
+                      [this, one, sent](const http::exchange_result& result) {
                           if (result.end != http::exchange_end::answered)
                           {
                               ++m_failures;
@@ -108,8 +103,12 @@
                        chosen.logs + "/" + kind + ".log");
     std::this_thread::sleep_for(core::millis(300));
     closed_loop load({"127.0.0.1", static_cast<std::uint16_t>(port)},
-                     {"POST", "/v1/transactions", {}, "{}"}, connections,
-                     false);
+                     {"POST",
+                      "/v1/transactions",
+                      // Http::Endpoint keeps a connection only when asked.
+                      {{"Connection", "keep-alive"}},
+                      "{}"},
+                     connections, false);
     double median = 0;
     const auto rate = load.run(duration, median);
     out = {{"requests_per_s", rate}, {"latency_ms_p50", median}};
--- a/programs/plantainctl/commands.cpp
+++ b/programs/plantainctl/commands.cpp
@@ -306,10 +306,9 @@
         for (const auto& one : answer->as_array())
             events.push_back(one);
     }
-    std::sort(
-        events.begin(), events.end(),
-        [](const auto& a, const auto& b)
-        { return a.at("time_us").as_int64() < b.at("time_us").as_int64(); });
+    std::sort(events.begin(), events.end(), [](const auto& a, const auto& b) {
+        return a.at("time_us").as_int64() < b.at("time_us").as_int64();
+    });
     if (where.json)
     {
         print(json::array(events.begin(), events.end()));
--- a/programs/plantainwardd/main.cpp
+++ b/programs/plantainwardd/main.cpp
@@ -44,8 +44,7 @@
 
 bool answer_question(const std::vector<std::string>& flags)
 {
-    const auto asks = [&](const char* flag)
-    {
+    const auto asks = [&](const char* flag) {
         return std::find(flags.begin(), flags.end(), flag) != flags.end();
     };
     if (asks("--help"))
@@ -73,20 +72,16 @@
         return exit_cannot_start;
     }
     boost::asio::signal_set signals(io, SIGTERM, SIGINT);
-    signals.async_wait(
-        [&](boost::system::error_code error, int)
-        {
-            if (error)
-                return;
-            node->drain();
-            // A second signal ends the process at once.
-            signals.async_wait(
-                [&](boost::system::error_code again, int)
-                {
-                    if (!again)
-                        io.stop();
-                });
+    signals.async_wait([&](boost::system::error_code error, int) {
+        if (error)
+            return;
+        node->drain();
+        // A second signal ends the process at once.
+        signals.async_wait([&](boost::system::error_code again, int) {
+            if (!again)
+                io.stop();
         });
+    });
     observe::log(observe::log_level::info, "ready");
     std::vector<std::thread> threads;
     for (std::int64_t i = 1; i < options.number("threads"); ++i)
--- a/src/plantainward/coordinator/fair_queue.cpp
+++ b/src/plantainward/coordinator/fair_queue.cpp
@@ -9,9 +9,10 @@
                                              const std::string& tenant)
 {
     auto& lines = m_lines.at(static_cast<std::size_t>(klass));
-    const auto found = std::find_if(lines.begin(), lines.end(),
-                                    [&](const tenant_line& line)
-                                    { return line.tenant == tenant; });
+    const auto found =
+        std::find_if(lines.begin(), lines.end(), [&](const tenant_line& line) {
+            return line.tenant == tenant;
+        });
     if (found != lines.end())
         return *found;
     lines.push_back({tenant, {}});
@@ -75,8 +76,9 @@
         for (auto line = lines.begin(); line != lines.end(); ++line)
         {
             const auto removed =
-                std::erase_if(line->requests, [&](const waiting& one)
-                              { return one.number == number; });
+                std::erase_if(line->requests, [&](const waiting& one) {
+                    return one.number == number;
+                });
             if (removed == 0)
                 continue;
             m_size -= removed;
@@ -100,8 +102,8 @@
                 line.requests.pop_front();
                 --m_size;
             }
-        lines.remove_if([](const tenant_line& line)
-                        { return line.requests.empty(); });
+        lines.remove_if(
+            [](const tenant_line& line) { return line.requests.empty(); });
     }
     return removed;
 }
--- a/src/plantainward/coordinator/group_view.cpp
+++ b/src/plantainward/coordinator/group_view.cpp
@@ -122,14 +122,12 @@
 {
     if (point.term != m_term)
         return std::nullopt;
-    const auto newest =
-        std::find_if(m_marks.rbegin(), m_marks.rend(),
-                     [&](const age_mark& mark)
-                     {
-                         return mark.point.term == m_term &&
-                                mark.point.position <= point.position &&
-                                is_primary_proved_at(mark.when);
-                     });
+    const auto newest = std::find_if(
+        m_marks.rbegin(), m_marks.rend(), [&](const age_mark& mark) {
+            return mark.point.term == m_term &&
+                   mark.point.position <= point.position &&
+                   is_primary_proved_at(mark.when);
+        });
     if (newest == m_marks.rend())
         return std::nullopt;
     return newest->when;
--- a/src/plantainward/coordinator/request.cpp
+++ b/src/plantainward/coordinator/request.cpp
@@ -25,8 +25,9 @@
 {
     return request.kind == request_kind::one_shot && request.id.empty() &&
            std::all_of(request.statements.begin(), request.statements.end(),
-                       [](const upstream::statement& one)
-                       { return upstream::is_read(one.what); });
+                       [](const upstream::statement& one) {
+                           return upstream::is_read(one.what);
+                       });
 }
 
 std::string content_digest(const caller_request& request)
--- a/src/plantainward/coordinator/service_coordinator.cpp
+++ b/src/plantainward/coordinator/service_coordinator.cpp
@@ -308,8 +308,7 @@
         if (!is_eligible(one, i, now))
             continue;
         // Prefer idle connections, then the fewest in use.
-        const auto load = [&](std::size_t database)
-        {
+        const auto load = [&](std::size_t database) {
             return std::pair(m_pools[database].idle() == 0,
                              m_pools[database].in_use());
         };
@@ -726,11 +725,9 @@
          "term " + std::to_string(view.term()) + " at " +
              m_layout.databases[*view.primary()].name);
     m_planner.forget_waits(static_cast<int>(slot));
-    const auto ended = m_transactions.handles_of(
-        [&](const auto& one) {
-            return index(one.slot) == slot && one.term < view.term() &&
-                   !one.busy;
-        });
+    const auto ended = m_transactions.handles_of([&](const auto& one) {
+        return index(one.slot) == slot && one.term < view.term() && !one.busy;
+    });
     for (const auto& handle : ended)
         end_transaction(handle, "the primary was replaced");
 
@@ -813,11 +810,9 @@
                  ? "no replica confirmed before the deadline"
                  : "no upstream could run it before the deadline");
     }
-    const auto idle = m_transactions.handles_of(
-        [&](const auto& one) {
-            return !one.busy &&
-                   now - one.last_used > m_options.transaction_idle;
-        });
+    const auto idle = m_transactions.handles_of([&](const auto& one) {
+        return !one.busy && now - one.last_used > m_options.transaction_idle;
+    });
     for (const auto& handle : idle)
         end_transaction(handle, "idle for too long");
 }
--- a/src/plantainward/core/rendezvous.cpp
+++ b/src/plantainward/core/rendezvous.cpp
@@ -22,12 +22,10 @@
         const auto score = placement_hash(key, one.name);
         scored.emplace_back(score, std::move(one));
     }
-    std::sort(scored.begin(), scored.end(),
-              [](const auto& a, const auto& b)
-              {
-                  return a.first != b.first ? a.first > b.first
-                                            : a.second.name < b.second.name;
-              });
+    std::sort(scored.begin(), scored.end(), [](const auto& a, const auto& b) {
+        return a.first != b.first ? a.first > b.first
+                                  : a.second.name < b.second.name;
+    });
     std::vector<host> ranked;
     ranked.reserve(scored.size());
     for (auto& [score, one] : scored)
@@ -42,13 +40,11 @@
 {
     auto ranked = by_hash(key, std::move(hosts));
     std::set<std::string> used;
-    std::stable_partition(ranked.begin(), ranked.end(),
-                          [&](const host& one)
-                          {
-                              if (used.size() >= spread)
-                                  return false;
-                              return used.insert(one.failure_domain).second;
-                          });
+    std::stable_partition(ranked.begin(), ranked.end(), [&](const host& one) {
+        if (used.size() >= spread)
+            return false;
+        return used.insert(one.failure_domain).second;
+    });
     return ranked;
 }
 
--- a/src/plantainward/daemon/configuration.hpp
+++ b/src/plantainward/daemon/configuration.hpp
@@ -51,10 +51,12 @@
             m_reading = true;
             m_last_read = now;
         }
-        m_table.read_row(std::string(intent::head_row),
-                         [self = this->shared_from_this()](
-                             const platform::reply<platform::table_row>& reply)
-                         { self->on_head(reply); });
+        m_table.read_row(
+            std::string(intent::head_row),
+            [self = this->shared_from_this()](
+                const platform::reply<platform::table_row>& reply) {
+                self->on_head(reply);
+            });
     }
 
     /// Asks a peer for a newer revision.
@@ -68,8 +70,7 @@
         m_peers.call(
             peer.peer, peer::frame_kind::fetch_revision, {}, fetch_timeout,
             [self = this->shared_from_this()](peer::call_end end,
-                                              const peer::frame& answer)
-            {
+                                              const peer::frame& answer) {
                 {
                     const std::lock_guard lock(self->m_mutex);
                     self->m_fetching = false;
@@ -150,8 +151,7 @@
         }
         m_objects.get_object(head->digest,
                              [self = this->shared_from_this(), head = *head](
-                                 const platform::reply<std::string>& body)
-                             {
+                                 const platform::reply<std::string>& body) {
                                  if (body.end == platform::platform_end::ok)
                                      self->offer({head.revision, head.digest,
                                                   body.value, head.author},
--- a/src/plantainward/daemon/coordinator_shell.hpp
+++ b/src/plantainward/daemon/coordinator_shell.hpp
@@ -65,33 +65,30 @@
     void submit(coordinator::caller_request request, reply_handler handler)
     {
         const auto now = core::steady::now();
-        drive(
-            [&](auto& coordinator)
-            {
-                const auto number = ++m_last_number;
-                m_pending.emplace(number, pending{std::move(handler), now,
-                                                  request.tenant, request.klass,
-                                                  is_counted_read(request)});
-                return coordinator.submit(number, std::move(request), now);
-            });
+        drive([&](auto& coordinator) {
+            const auto number = ++m_last_number;
+            m_pending.emplace(number,
+                              pending{std::move(handler), now, request.tenant,
+                                      request.klass, is_counted_read(request)});
+            return coordinator.submit(number, std::move(request), now);
+        });
     }
 
     void tick()
     {
-        drive([](auto& coordinator)
-              { return coordinator.on_tick(core::steady::now()); });
+        drive([](auto& coordinator) {
+            return coordinator.on_tick(core::steady::now());
+        });
     }
 
     void take_status(std::size_t database,
                      const upstream::database_status& status,
                      core::instant sent_at)
     {
-        drive(
-            [&](auto& coordinator)
-            {
-                return coordinator.on_status(database, status, sent_at,
-                                             core::steady::now());
-            });
+        drive([&](auto& coordinator) {
+            return coordinator.on_status(database, status, sent_at,
+                                         core::steady::now());
+        });
     }
 
     /// Takes a changed layout; false when it has other databases.
@@ -99,8 +96,9 @@
     {
         if (!has_same_databases(layout))
             return false;
-        drive([&](auto& coordinator)
-              { return coordinator.set_layout(layout, core::steady::now()); });
+        drive([&](auto& coordinator) {
+            return coordinator.set_layout(layout, core::steady::now());
+        });
         return true;
     }
 
@@ -159,8 +157,9 @@
         for (std::size_t i = 0; i < m_databases.size(); ++i)
             if (layout.databases[i].where != m_databases[i].where)
                 return false;
-        return read([&](const auto& coordinator)
-                    { return coordinator.layout().slots == layout.slots; });
+        return read([&](const auto& coordinator) {
+            return coordinator.layout().slots == layout.slots;
+        });
     }
 
     // Actions are carried out after the lock is released, since their ends
@@ -182,13 +181,11 @@
         m_gate.open(m_databases[action.database].where, action.connection,
                     open_timeout,
                     [self = this->shared_from_this(),
-                     number = action.connection](upstream::open_end end)
-                    {
-                        self->drive(
-                            [&](auto& coordinator) {
-                                return coordinator.on_opened(
-                                    number, end, core::steady::now());
-                            });
+                     number = action.connection](upstream::open_end end) {
+                        self->drive([&](auto& coordinator) {
+                            return coordinator.on_opened(number, end,
+                                                         core::steady::now());
+                        });
                     });
     }
 
@@ -201,14 +198,11 @@
     {
         m_gate.run(action.connection, action.order, action.timeout,
                    [self = this->shared_from_this(),
-                    number = action.connection](upstream::run_result result)
-                   {
-                       self->drive(
-                           [&](auto& coordinator) {
-                               return coordinator.on_run(number,
-                                                         std::move(result),
-                                                         core::steady::now());
-                           });
+                    number = action.connection](upstream::run_result result) {
+                       self->drive([&](auto& coordinator) {
+                           return coordinator.on_run(number, std::move(result),
+                                                     core::steady::now());
+                       });
                    });
     }
 
@@ -221,15 +215,12 @@
         m_gate.control(
             m_databases[action.database].where, order, action.timeout,
             [self = this->shared_from_this(), database = action.database,
-             slot = action.slot,
-             sent = core::steady::now()](const upstream::control_result& result)
-            {
-                self->drive(
-                    [&](auto& coordinator)
-                    {
-                        return coordinator.on_poll(database, slot, result, sent,
-                                                   core::steady::now());
-                    });
+             slot = action.slot, sent = core::steady::now()](
+                const upstream::control_result& result) {
+                self->drive([&](auto& coordinator) {
+                    return coordinator.on_poll(database, slot, result, sent,
+                                               core::steady::now());
+                });
             });
     }
 
--- a/src/plantainward/daemon/monitor_shell.hpp
+++ b/src/plantainward/daemon/monitor_shell.hpp
@@ -39,21 +39,22 @@
 
     void tick()
     {
-        drive([](auto& monitor)
-              { return monitor.on_tick(core::steady::now()); });
+        drive(
+            [](auto& monitor) { return monitor.on_tick(core::steady::now()); });
     }
 
     void hint(std::size_t database)
     {
-        drive([&](auto& monitor)
-              { return monitor.on_hint(database, core::steady::now()); });
+        drive([&](auto& monitor) {
+            return monitor.on_hint(database, core::steady::now());
+        });
     }
 
     void take_opinion(const std::string& watcher, const failover::opinion& what)
     {
-        drive(
-            [&](auto& monitor)
-            { return monitor.on_opinion(watcher, what, core::steady::now()); });
+        drive([&](auto& monitor) {
+            return monitor.on_opinion(watcher, what, core::steady::now());
+        });
     }
 
     void set_watchers(std::vector<std::string> ranked, const std::string& self)
@@ -84,18 +85,16 @@
 
     void carry_out(const failover::probe_action& action)
     {
-        m_gate.control(
-            m_databases[action.database].where, {}, action.timeout,
-            [self = this->shared_from_this(), database = action.database,
-             sent = core::steady::now()](const upstream::control_result& result)
-            {
-                self->drive(
-                    [&](auto& monitor) {
-                        return monitor.on_probe(database, result,
-                                                core::steady::now());
-                    });
-                self->m_on_status(database, result.status, sent);
-            });
+        m_gate.control(m_databases[action.database].where, {}, action.timeout,
+                       [self = this->shared_from_this(),
+                        database = action.database, sent = core::steady::now()](
+                           const upstream::control_result& result) {
+                           self->drive([&](auto& monitor) {
+                               return monitor.on_probe(database, result,
+                                                       core::steady::now());
+                           });
+                           self->m_on_status(database, result.status, sent);
+                       });
     }
 
     void carry_out(const failover::control_action& action)
@@ -103,14 +102,12 @@
         m_gate.control(
             m_databases[action.database].where, action.order, action.timeout,
             [self = this->shared_from_this(), database = action.database,
-             claim = action.claim,
-             sent = core::steady::now()](const upstream::control_result& result)
-            {
-                self->drive(
-                    [&](auto& monitor) {
-                        return monitor.on_control(database, claim, result,
-                                                  core::steady::now());
-                    });
+             claim = action.claim, sent = core::steady::now()](
+                const upstream::control_result& result) {
+                self->drive([&](auto& monitor) {
+                    return monitor.on_control(database, claim, result,
+                                              core::steady::now());
+                });
                 self->m_on_status(database, result.status, sent);
             });
     }
--- a/src/plantainward/daemon/node.cpp
+++ b/src/plantainward/daemon/node.cpp
@@ -86,10 +86,10 @@
           peers(io), datagrams(options.text("peer-key")),
           members(self_host(), incarnation, membership_timing(),
                   incarnation ^ core::placement_hash(host, {})),
-          services(gate, {events, numbers}, options, instance, random_secret(),
-                   [this](const std::vector<core::host>& to,
-                          const failover::opinion& what)
-                   { broadcast(to, what); }),
+          services(
+              gate, {events, numbers}, options, instance, random_secret(),
+              [this](const std::vector<core::host>& to,
+                     const failover::opinion& what) { broadcast(to, what); }),
           front(services, peers, {events, numbers}, std::move(tokens),
                 limits_of(options), instance),
           operators(services, {events, numbers}, sources(), host,
@@ -115,15 +115,14 @@
     admin_sources sources()
     {
         return {[this] { return config->document(); },
-                [this](const peer::revision_document& one)
-                { return config->offer(one, "an operator"); },
-                [this]
-                {
+                [this](const peer::revision_document& one) {
+                    return config->offer(one, "an operator");
+                },
+                [this] {
                     const std::lock_guard lock(members_mutex);
                     return members.live();
                 },
-                [this]
-                {
+                [this] {
                     begin_drain();
                 }};
     }
@@ -184,16 +183,17 @@
 bool node::impl::open_listeners()
 {
     auto self = shared_from_this();
-    socket = peer::datagram_socket::bind(io, options.address("peer-address"),
-                                         [this](std::string_view bytes)
-                                         { on_datagram(bytes); });
+    socket = peer::datagram_socket::bind(
+        io, options.address("peer-address"),
+        [this](std::string_view bytes) { on_datagram(bytes); });
     if (!socket)
         return false;
     peer_links = peer::peer_server::listen(
         io, options.address("peer-address"),
         [this](peer::frame_kind kind, const std::string& payload,
-               peer::frame_responder respond)
-        { on_frame(kind, payload, std::move(respond)); },
+               peer::frame_responder respond) {
+            on_frame(kind, payload, std::move(respond));
+        },
         [this] { numbers.count("dropped_frames", "peer"); });
     http::server_limits limits;
     limits.threads = static_cast<std::size_t>(options.number("caller-threads"));
@@ -204,15 +204,17 @@
         callers = http::server::listen(
             options.address("caller-address"), limits, io,
             [this](http::connection_id, http::request message,
-                   http::responder respond)
-            { front.handle(std::move(message), std::move(respond)); });
+                   http::responder respond) {
+                front.handle(std::move(message), std::move(respond));
+            });
     limits.threads = 1;
     if (callers)
         admins = http::server::listen(
             options.address("admin-address"), limits, io,
             [this](http::connection_id, const http::request& message,
-                   const http::responder& respond)
-            { operators.handle(message, respond); });
+                   const http::responder& respond) {
+                operators.handle(message, respond);
+            });
     return admins.has_value();
 }
 
@@ -306,8 +308,9 @@
     }
     front.serve_peer(
         std::move(*request),
-        [respond = std::move(respond)](const coordinator::caller_reply& reply)
-        { respond(peer::frame_kind::reply, peer::encode(reply)); });
+        [respond = std::move(respond)](const coordinator::caller_reply& reply) {
+            respond(peer::frame_kind::reply, peer::encode(reply));
+        });
 }
 
 void node::impl::on_revision(const intent::accepted_revision& revision)
@@ -335,8 +338,7 @@
 {
     platform.list_hosts(
         [this, self = shared_from_this()](
-            const platform::reply<platform::listed_hosts>& reply)
-        {
+            const platform::reply<platform::listed_hosts>& reply) {
             if (reply.end != platform::platform_end::ok)
                 return;
             knows_hosts = true;
@@ -370,8 +372,7 @@
 {
     timer.expires_after(tick_interval);
     timer.async_wait(
-        [self = shared_from_this()](boost::system::error_code error)
-        {
+        [self = shared_from_this()](boost::system::error_code error) {
             if (error)
                 return;
             self->tick();
@@ -403,25 +404,23 @@
 
 void node::impl::begin_drain()
 {
-    boost::asio::post(io,
-                      [this, self = shared_from_this()]
-                      {
-                          if (draining)
-                              return;
-                          drain_started = core::steady::now();
-                          last_busy = drain_started;
-                          seen().record({observe::event_kind::drain_step,
-                                         host,
-                                         -1,
-                                         {},
-                                         "a graceful shutdown begins"});
-                          front.start_drain();
-                          drive_members([&] { return members.leave(); });
-                          rebuild_routes();
-                          services.start_drain();
-                          callers->close_after_responses();
-                          draining = true;
-                      });
+    boost::asio::post(io, [this, self = shared_from_this()] {
+        if (draining)
+            return;
+        drain_started = core::steady::now();
+        last_busy = drain_started;
+        seen().record({observe::event_kind::drain_step,
+                       host,
+                       -1,
+                       {},
+                       "a graceful shutdown begins"});
+        front.start_drain();
+        drive_members([&] { return members.leave(); });
+        rebuild_routes();
+        services.start_drain();
+        callers->close_after_responses();
+        draining = true;
+    });
 }
 
 std::optional<node> node::start(boost::asio::io_context& io,
@@ -434,8 +433,9 @@
     auto made = std::make_shared<impl>(io, options, std::move(*tokens));
     made->config = std::make_shared<platform_configuration>(
         made->platform, made->platform, made->peers, made->seen(), made->host,
-        [raw = made.get()](const intent::accepted_revision& revision)
-        { raw->on_revision(revision); });
+        [raw = made.get()](const intent::accepted_revision& revision) {
+            raw->on_revision(revision);
+        });
     if (!made->open_listeners())
         return std::nullopt;
     made->schedule_tick();
--- a/src/plantainward/daemon/service_directory.cpp
+++ b/src/plantainward/daemon/service_directory.cpp
@@ -67,8 +67,7 @@
     options.transaction_idle = m_options.duration("transaction-idle-ms");
     auto made = std::make_shared<coordinator_shell<upstream::http_gate>>(
         m_gate, m_seen, effective_layout(route), std::move(options),
-        [this, service = route.intent.layout.name](std::size_t database)
-        {
+        [this, service = route.intent.layout.name](std::size_t database) {
             if (const auto monitor = monitor_of(service))
                 monitor->hint(database);
         });
@@ -86,16 +85,14 @@
     const auto service = route.intent.layout.name;
     return std::make_shared<monitor_shell<upstream::http_gate>>(
         m_gate, m_seen, effective_layout(route), std::move(options),
-        [this, service](const failover::opinion& what)
-        {
+        [this, service](const failover::opinion& what) {
             const auto table = routes();
             if (const auto* route_now = table->find(service))
                 m_broadcast(route_now->watchers(), what);
         },
         [this, service](std::size_t database,
                         const upstream::database_status& status,
-                        core::instant sent)
-        {
+                        core::instant sent) {
             coordinator_ptr one;
             {
                 const lock_type lock(m_mutex);
@@ -135,8 +132,7 @@
     for (const auto& [name, route] : table->routes())
         update_service(route);
     const lock_type lock(m_mutex);
-    const auto is_gone = [&](const auto& item)
-    {
+    const auto is_gone = [&](const auto& item) {
         return table->find(item.first) == nullptr;
     };
     for (const auto& item : m_coordinators)
@@ -241,14 +237,11 @@
     const auto now = core::steady::now();
     for (auto it = m_coordinators.begin(); it != m_coordinators.end();)
     {
-        const bool is_unused = it->second->read(
-            [&](const auto& coordinator)
-            {
-                return !coordinator.is_busy() &&
-                       now - std::max(coordinator.last_request(),
-                                      m_routes_since) >
-                           unused_time;
-            });
+        const bool is_unused = it->second->read([&](const auto& coordinator) {
+            return !coordinator.is_busy() &&
+                   now - std::max(coordinator.last_request(), m_routes_since) >
+                       unused_time;
+        });
         if (!is_unused || is_first(it->first))
         {
             ++it;
@@ -267,14 +260,12 @@
     {
         const lock_type lock(m_mutex);
         retire_unused();
-        std::erase_if(m_retiring,
-                      [](const auto& one)
-                      {
-                          if (one->is_busy())
-                              return false;
-                          one->close_connections();
-                          return true;
-                      });
+        std::erase_if(m_retiring, [](const auto& one) {
+            if (one->is_busy())
+                return false;
+            one->close_connections();
+            return true;
+        });
         coordinators = m_retiring;
         for (const auto& [name, one] : m_coordinators)
             coordinators.push_back(one);
--- a/src/plantainward/failover/claim.cpp
+++ b/src/plantainward/failover/claim.cpp
@@ -139,8 +139,7 @@
 
 void claim::choose(actions& out)
 {
-    const auto rank = [&](std::size_t i)
-    {
+    const auto rank = [&](std::size_t i) {
         // Equal logs: not one that is leaving, then spread over the slots.
         const auto size = m_grants.size();
         const auto turn =
--- a/src/plantainward/http/client.cpp
+++ b/src/plantainward/http/client.cpp
@@ -40,8 +40,9 @@
     {
         asio::dispatch(m_stream.get_executor(),
                        [this, self = shared_from_this(), timeout,
-                        handler = std::move(handler)]() mutable
-                       { start_open(timeout, std::move(handler)); });
+                        handler = std::move(handler)]() mutable {
+                           start_open(timeout, std::move(handler));
+                       });
     }
 
     void exchange(request message, core::millis timeout,
@@ -69,20 +70,19 @@
         if (bad_address)
             return handler(false);
         m_stream.expires_after(timeout);
-        m_stream.async_connect(asio::ip::tcp::endpoint(ip, m_where.port),
-                               [this, self = shared_from_this(),
-                                handler = std::move(handler)](error_code error)
-                               {
-                                   if (!error)
-                                   {
-                                       error_code ignored;
-                                       m_stream.socket().set_option(
-                                           asio::ip::tcp::no_delay(true),
-                                           ignored);
-                                   }
-                                   m_open = !error;
-                                   handler(m_open);
-                               });
+        m_stream.async_connect(
+            asio::ip::tcp::endpoint(ip, m_where.port),
+            [this, self = shared_from_this(),
+             handler = std::move(handler)](error_code error) {
+                if (!error)
+                {
+                    error_code ignored;
+                    m_stream.socket().set_option(asio::ip::tcp::no_delay(true),
+                                                 ignored);
+                }
+                m_open = !error;
+                handler(m_open);
+            });
     }
 
     void start_exchange(request message, core::millis timeout,
@@ -105,8 +105,9 @@
         m_stream.expires_after(timeout);
         beast_http::async_write(
             m_stream, m_request,
-            [this, self = shared_from_this()](error_code error, std::size_t n)
-            { on_written(error, n); });
+            [this, self = shared_from_this()](error_code error, std::size_t n) {
+                on_written(error, n);
+            });
     }
 
     // What is written on a connection that the server has closed may be lost
@@ -124,10 +125,10 @@
             return finish_failed(error, written > 0);
         m_parser.emplace();
         m_parser->body_limit(max_answer_bytes);
-        beast_http::async_read(m_stream, m_buffer, *m_parser,
-                               [this, self = shared_from_this()](
-                                   error_code read_error, std::size_t)
-                               { on_read(read_error); });
+        beast_http::async_read(
+            m_stream, m_buffer, *m_parser,
+            [this, self = shared_from_this()](
+                error_code read_error, std::size_t) { on_read(read_error); });
     }
 
     void on_read(error_code error)
@@ -224,16 +225,14 @@
                  core::millis timeout, exchange_handler handler)
     {
         auto made = client_connection::create(m_io, where);
-        made->open(timeout,
-                   [this, self = shared_from_this(), made, where,
-                    message = std::move(message), timeout,
-                    handler = std::move(handler)](bool ok) mutable
-                   {
-                       if (!ok)
-                           return handler({exchange_end::not_sent, 0, {}});
-                       start(where, made, std::move(message), timeout,
-                             std::move(handler), false);
-                   });
+        made->open(timeout, [this, self = shared_from_this(), made, where,
+                             message = std::move(message), timeout,
+                             handler = std::move(handler)](bool ok) mutable {
+            if (!ok)
+                return handler({exchange_end::not_sent, 0, {}});
+            start(where, made, std::move(message), timeout, std::move(handler),
+                  false);
+        });
     }
 
     // A kept connection may have been closed by the server meanwhile; nothing
@@ -247,8 +246,7 @@
             std::move(message), timeout,
             [this, self = shared_from_this(), where, one = std::move(one),
              copy = std::move(copy), timeout,
-             handler = std::move(handler)](exchange_result result) mutable
-            {
+             handler = std::move(handler)](exchange_result result) mutable {
                 if (result.end == exchange_end::not_sent && copy)
                     return connect(where, std::move(*copy), timeout,
                                    std::move(handler));
@@ -285,8 +283,7 @@
     exchange_result end;
     const auto sender = client::create(io);
     sender->send(where, std::move(message), timeout,
-                 [&](exchange_result result)
-                 {
+                 [&](exchange_result result) {
                      end = std::move(result);
                      io.stop();
                  });
--- a/src/plantainward/http/internal/server_connection.cpp
+++ b/src/plantainward/http/internal/server_connection.cpp
@@ -89,8 +89,9 @@
     {
         m_state->on_request(
             m_id, std::move(message),
-            [self = shared_from_this(), number = number](response reply)
-            { self->answer(number, std::move(reply)); });
+            [self = shared_from_this(), number = number](response reply) {
+                self->answer(number, std::move(reply));
+            });
     }
 }
 
@@ -209,8 +210,7 @@
     m_write_active = true;
     boost::asio::async_write(m_socket, boost::asio::buffer(m_writing),
                              [self = shared_from_this()](
-                                 boost::system::error_code error, std::size_t)
-                             {
+                                 boost::system::error_code error, std::size_t) {
                                  const std::lock_guard lock(self->m_mutex);
                                  self->m_write_active = false;
                                  if (error)
--- a/src/plantainward/http/server.cpp
+++ b/src/plantainward/http/server.cpp
@@ -133,16 +133,14 @@
     void schedule_sweep()
     {
         sweep.expires_after(sweep_interval);
-        sweep.async_wait(
-            [this](boost::system::error_code error)
-            {
-                if (error)
-                    return;
-                const auto now = core::steady::now();
-                for (const auto& one : connections->all())
-                    one->check_time(now);
-                schedule_sweep();
-            });
+        sweep.async_wait([this](boost::system::error_code error) {
+            if (error)
+                return;
+            const auto now = core::steady::now();
+            for (const auto& one : connections->all())
+                one->check_time(now);
+            schedule_sweep();
+        });
     }
 
     std::shared_ptr<internal::server_state> state{
--- a/src/plantainward/intent/applier.hpp
+++ b/src/plantainward/intent/applier.hpp
@@ -61,8 +61,7 @@
         m_objects.put_object(
             m_wanted.digest, m_body,
             [self = this->shared_from_this(),
-             left](const platform::reply<std::string>& reply)
-            {
+             left](const platform::reply<std::string>& reply) {
                 // Writing an object again under its digest changes nothing.
                 if (reply.end == platform::platform_end::ok)
                     return self->move_head(attempts);
@@ -79,8 +78,7 @@
         m_table.compare_and_set(
             std::string(head_row), m_wanted.revision - 1, encode(m_wanted),
             [self = this->shared_from_this(),
-             left](const platform::reply<platform::table_row>& reply)
-            {
+             left](const platform::reply<platform::table_row>& reply) {
                 if (reply.end == platform::platform_end::ok)
                     return self->succeed();
                 self->read_back(left);
@@ -89,10 +87,12 @@
 
     void read_back(int left)
     {
-        m_table.read_row(std::string(head_row),
-                         [self = this->shared_from_this(), left](
-                             const platform::reply<platform::table_row>& reply)
-                         { self->settle(reply, left); });
+        m_table.read_row(
+            std::string(head_row),
+            [self = this->shared_from_this(),
+             left](const platform::reply<platform::table_row>& reply) {
+                self->settle(reply, left);
+            });
     }
 
     void settle(const platform::reply<platform::table_row>& reply, int left)
--- a/src/plantainward/intent/bundle.cpp
+++ b/src/plantainward/intent/bundle.cpp
@@ -43,8 +43,9 @@
         return core::fail(core::error_kind::bad_intent,
                           "folder " + folder + " has no .toml files");
     std::sort(files.begin(), files.end(),
-              [](const intent_file& a, const intent_file& b)
-              { return a.name < b.name; });
+              [](const intent_file& a, const intent_file& b) {
+                  return a.name < b.name;
+              });
     return files;
 }
 
--- a/src/plantainward/intent/routing_intent.cpp
+++ b/src/plantainward/intent/routing_intent.cpp
@@ -59,8 +59,7 @@
 upstream::database_layout read_database(const merged& from,
                                         const key_path& path)
 {
-    const auto key = [&](const char* name)
-    {
+    const auto key = [&](const char* name) {
         auto made = path;
         made.emplace_back(name);
         return made;
@@ -104,13 +103,11 @@
                    std::vector<issue>& issues)
 {
     const auto& layout = service.layout;
-    const auto place = [&](const std::string& name)
-    {
-        const auto first = std::find_if(from.values.begin(), from.values.end(),
-                                        [&](const auto& item) {
-                                            return item.first.size() > 1 &&
-                                                   item.first[1] == name;
-                                        });
+    const auto place = [&](const std::string& name) {
+        const auto first = std::find_if(
+            from.values.begin(), from.values.end(), [&](const auto& item) {
+                return item.first.size() > 1 && item.first[1] == name;
+            });
         return first->second;
     };
     const auto at = place(layout.name);
@@ -139,9 +136,9 @@
 
 const service_intent* routing_intent::find(const std::string& name) const
 {
-    const auto found = std::find_if(services.begin(), services.end(),
-                                    [&](const service_intent& one)
-                                    { return one.layout.name == name; });
+    const auto found = std::find_if(
+        services.begin(), services.end(),
+        [&](const service_intent& one) { return one.layout.name == name; });
     return found == services.end() ? nullptr : &*found;
 }
 
--- a/src/plantainward/intent/schema.cpp
+++ b/src/plantainward/intent/schema.cpp
@@ -45,8 +45,9 @@
 bool matches(const key_path& pattern, const key_path& path)
 {
     return std::equal(pattern.begin(), pattern.end(), path.begin(), path.end(),
-                      [](const std::string& want, const std::string& have)
-                      { return want == "*" || want == have; });
+                      [](const std::string& want, const std::string& have) {
+                          return want == "*" || want == have;
+                      });
 }
 
 std::size_t edit_distance(const std::string& from, const std::string& to)
@@ -73,9 +74,9 @@
 const key_rule* rule_for(const key_path& path)
 {
     const auto found =
-        std::find_if(rules.begin(), rules.end(),
-                     [&](const key_rule& rule)
-                     { return matches(split(rule.pattern), path); });
+        std::find_if(rules.begin(), rules.end(), [&](const key_rule& rule) {
+            return matches(split(rule.pattern), path);
+        });
     return found == rules.end() ? nullptr : &*found;
 }
 
--- a/src/plantainward/membership/member_table.cpp
+++ b/src/plantainward/membership/member_table.cpp
@@ -98,13 +98,10 @@
 
 void member_table::forget(core::instant now, core::millis limit)
 {
-    std::erase_if(m_members,
-                  [&](const auto& item)
-                  {
-                      return item.second.known.state >
-                                 member_state::suspected &&
-                             now - item.second.since > limit;
-                  });
+    std::erase_if(m_members, [&](const auto& item) {
+        return item.second.known.state > member_state::suspected &&
+               now - item.second.since > limit;
+    });
 }
 
 } // namespace plantainward::membership
--- a/src/plantainward/membership/membership.cpp
+++ b/src/plantainward/membership/membership.cpp
@@ -21,8 +21,9 @@
 
 void membership::set_listed(std::vector<core::host> hosts)
 {
-    std::erase_if(hosts, [&](const core::host& one)
-                  { return one.name == m_self.who.name; });
+    std::erase_if(hosts, [&](const core::host& one) {
+        return one.name == m_self.who.name;
+    });
     if (hosts != m_listed)
         m_last_mend = {};
     m_listed = std::move(hosts);
@@ -99,15 +100,12 @@
     case message_kind::ack:
         if (m_probe && m_probe->sequence == what.sequence)
             m_probe.reset();
-        std::erase_if(m_relays,
-                      [&](const relay& one)
-                      {
-                          if (one.sequence != what.sequence)
-                              return false;
-                          send(one.asker, message_kind::ack,
-                               one.asked_sequence);
-                          return true;
-                      });
+        std::erase_if(m_relays, [&](const relay& one) {
+            if (one.sequence != what.sequence)
+                return false;
+            send(one.asker, message_kind::ack, one.asked_sequence);
+            return true;
+        });
         break;
     case message_kind::notice:
         m_out.emplace_back(notice_action{what.sender.who.name, what.payload});
@@ -129,8 +127,9 @@
         take_news(late, now);
     }
     m_table.forget(now, m_options.forget_after);
-    std::erase_if(m_relays, [&](const relay& one)
-                  { return now - one.since > relay_lifetime; });
+    std::erase_if(m_relays, [&](const relay& one) {
+        return now - one.since > relay_lifetime;
+    });
     return take();
 }
 
--- a/src/plantainward/peer/datagram_socket.cpp
+++ b/src/plantainward/peer/datagram_socket.cpp
@@ -48,8 +48,7 @@
 {
     m_socket.async_receive_from(
         asio::buffer(m_buffer), m_sender,
-        [self = shared_from_this()](error_code error, std::size_t size)
-        {
+        [self = shared_from_this()](error_code error, std::size_t size) {
             if (error == asio::error::operation_aborted)
                 return;
             if (!error)
--- a/src/plantainward/peer/peer_link.cpp
+++ b/src/plantainward/peer/peer_link.cpp
@@ -30,13 +30,11 @@
 void peer_link::call(frame_kind kind, std::string payload, core::millis timeout,
                      call_handler handler)
 {
-    asio::dispatch(m_strand,
-                   [self = shared_from_this(), kind,
-                    payload = std::move(payload), timeout,
-                    handler = std::move(handler)]() mutable {
-                       self->start_call(kind, std::move(payload), timeout,
-                                        std::move(handler));
-                   });
+    asio::dispatch(m_strand, [self = shared_from_this(), kind,
+                              payload = std::move(payload), timeout,
+                              handler = std::move(handler)]() mutable {
+        self->start_call(kind, std::move(payload), timeout, std::move(handler));
+    });
 }
 
 void peer_link::start_call(frame_kind kind, std::string payload,
@@ -64,21 +62,18 @@
     const auto connection = ++m_connection;
     m_socket.async_connect(
         asio::ip::tcp::endpoint(ip, m_where.port),
-        asio::bind_executor(
-            m_strand,
-            [self = shared_from_this(), connection](error_code error)
-            {
-                if (connection != self->m_connection)
-                    return;
-                if (error)
-                    return self->fail_all();
-                error_code ignored;
-                self->m_socket.set_option(asio::ip::tcp::no_delay(true),
-                                          ignored);
-                self->m_state = link_state::connected;
-                self->write_more();
-                self->read_header();
-            }));
+        asio::bind_executor(m_strand, [self = shared_from_this(),
+                                       connection](error_code error) {
+            if (connection != self->m_connection)
+                return;
+            if (error)
+                return self->fail_all();
+            error_code ignored;
+            self->m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+            self->m_state = link_state::connected;
+            self->write_more();
+            self->read_header();
+        }));
 }
 
 void peer_link::write_more()
@@ -100,10 +95,8 @@
     asio::async_write(
         m_socket, asio::buffer(m_writing),
         asio::bind_executor(
-            m_strand,
-            [self = shared_from_this(),
-             connection = m_connection](error_code error, std::size_t)
-            {
+            m_strand, [self = shared_from_this(), connection = m_connection](
+                          error_code error, std::size_t) {
                 if (connection != self->m_connection)
                     return;
                 self->m_writing.clear();
@@ -115,42 +108,38 @@
 
 void peer_link::read_header()
 {
-    asio::async_read(m_socket, asio::buffer(m_header),
-                     asio::bind_executor(
-                         m_strand,
-                         [self = shared_from_this(), connection = m_connection](
-                             error_code error, std::size_t)
-                         {
-                             if (connection != self->m_connection)
-                                 return;
-                             const auto length =
-                                 error ? std::nullopt
-                                       : decode_header({self->m_header.data(),
-                                                        self->m_header.size()});
-                             if (!length)
-                                 return self->fail_all();
-                             self->read_body(*length);
-                         }));
+    asio::async_read(
+        m_socket, asio::buffer(m_header),
+        asio::bind_executor(m_strand, [self = shared_from_this(),
+                                       connection = m_connection](
+                                          error_code error, std::size_t) {
+            if (connection != self->m_connection)
+                return;
+            const auto length = error ? std::nullopt
+                                      : decode_header({self->m_header.data(),
+                                                       self->m_header.size()});
+            if (!length)
+                return self->fail_all();
+            self->read_body(*length);
+        }));
 }
 
 void peer_link::read_body(std::size_t length)
 {
     m_body.resize(length);
-    asio::async_read(m_socket, asio::buffer(m_body),
-                     asio::bind_executor(
-                         m_strand,
-                         [self = shared_from_this(), connection = m_connection](
-                             error_code error, std::size_t)
-                         {
-                             if (connection != self->m_connection)
-                                 return;
-                             auto answer = error ? std::nullopt
-                                                 : decode_body(self->m_body);
-                             if (!answer)
-                                 return self->fail_all();
-                             self->take(std::move(*answer));
-                             self->read_header();
-                         }));
+    asio::async_read(
+        m_socket, asio::buffer(m_body),
+        asio::bind_executor(
+            m_strand, [self = shared_from_this(), connection = m_connection](
+                          error_code error, std::size_t) {
+                if (connection != self->m_connection)
+                    return;
+                auto answer = error ? std::nullopt : decode_body(self->m_body);
+                if (!answer)
+                    return self->fail_all();
+                self->take(std::move(*answer));
+                self->read_header();
+            }));
 }
 
 void peer_link::take(frame answer)
@@ -180,21 +169,17 @@
 {
     m_sweep.expires_after(sweep_interval);
     m_sweep.async_wait(asio::bind_executor(
-        m_strand,
-        [self = shared_from_this()](error_code error)
-        {
+        m_strand, [self = shared_from_this()](error_code error) {
             if (error)
                 return;
             const auto now = core::steady::now();
             std::vector<pending_call> late;
-            std::erase_if(self->m_calls,
-                          [&](auto& item)
-                          {
-                              if (item.second.deadline > now)
-                                  return false;
-                              late.push_back(std::move(item.second));
-                              return true;
-                          });
+            std::erase_if(self->m_calls, [&](auto& item) {
+                if (item.second.deadline > now)
+                    return false;
+                late.push_back(std::move(item.second));
+                return true;
+            });
             for (auto& one : late)
                 one.handler(one.written ? call_end::lost : call_end::not_sent,
                             {});
--- a/src/plantainward/peer/peer_server.cpp
+++ b/src/plantainward/peer/peer_server.cpp
@@ -40,14 +40,13 @@
 
     void read_header()
     {
-        asio::async_read(m_socket, asio::buffer(m_header),
-                         asio::bind_executor(m_strand,
-                                             [self = shared_from_this()](
-                                                 error_code error, std::size_t)
-                                             {
-                                                 if (!error)
-                                                     self->on_header();
-                                             }));
+        asio::async_read(
+            m_socket, asio::buffer(m_header),
+            asio::bind_executor(m_strand, [self = shared_from_this()](
+                                              error_code error, std::size_t) {
+                if (!error)
+                    self->on_header();
+            }));
     }
 
 private:
@@ -57,14 +56,13 @@
         if (!length)
             return drop();
         m_body.resize(*length);
-        asio::async_read(m_socket, asio::buffer(m_body),
-                         asio::bind_executor(m_strand,
-                                             [self = shared_from_this()](
-                                                 error_code error, std::size_t)
-                                             {
-                                                 if (!error)
-                                                     self->on_body();
-                                             }));
+        asio::async_read(
+            m_socket, asio::buffer(m_body),
+            asio::bind_executor(m_strand, [self = shared_from_this()](
+                                              error_code error, std::size_t) {
+                if (!error)
+                    self->on_body();
+            }));
     }
 
     void on_body()
@@ -90,8 +88,7 @@
     void answer(const frame& one)
     {
         asio::dispatch(m_strand,
-                       [self = shared_from_this(), bytes = encode(one)]
-                       {
+                       [self = shared_from_this(), bytes = encode(one)] {
                            self->m_outgoing += bytes;
                            if (self->m_outgoing.size() > max_unsent)
                                return self->drop();
@@ -105,15 +102,14 @@
         if (m_outgoing.empty())
             return;
         m_writing = std::exchange(m_outgoing, {});
-        asio::async_write(m_socket, asio::buffer(m_writing),
-                          asio::bind_executor(m_strand,
-                                              [self = shared_from_this()](
-                                                  error_code error, std::size_t)
-                                              {
-                                                  self->m_writing.clear();
-                                                  if (!error)
-                                                      self->write_more();
-                                              }));
+        asio::async_write(
+            m_socket, asio::buffer(m_writing),
+            asio::bind_executor(m_strand, [self = shared_from_this()](
+                                              error_code error, std::size_t) {
+                self->m_writing.clear();
+                if (!error)
+                    self->write_more();
+            }));
     }
 
     asio::any_io_executor m_strand;
@@ -160,8 +156,7 @@
     {
         m_acceptor.async_accept(
             asio::make_strand(m_io),
-            [self = shared_from_this()](error_code error, tcp::socket socket)
-            {
+            [self = shared_from_this()](error_code error, tcp::socket socket) {
                 if (error == asio::error::operation_aborted)
                     return;
                 if (!error)
--- a/src/plantainward/platform/http_platform.cpp
+++ b/src/plantainward/platform/http_platform.cpp
@@ -33,8 +33,7 @@
 http::exchange_handler decode_with(reply_handler<T> handler, Decoder decode)
 {
     return [handler = std::move(handler),
-            decode](const http::exchange_result& result)
-    {
+            decode](const http::exchange_result& result) {
         reply<T> made{end_of(result), {}};
         if (made.end == platform_end::ok)
         {
--- a/src/plantainward/platform/wire.cpp
+++ b/src/plantainward/platform/wire.cpp
@@ -49,13 +49,10 @@
 
 std::optional<table_row> decode_row(std::string_view text)
 {
-    return guarded(text,
-                   [](const json::object& from)
-                   {
-                       return table_row{
-                           std::string(from.at("value").as_string()),
-                           from.at("version").to_number<std::uint64_t>()};
-                   });
+    return guarded(text, [](const json::object& from) {
+        return table_row{std::string(from.at("value").as_string()),
+                         from.at("version").to_number<std::uint64_t>()};
+    });
 }
 
 std::string encode(const listed_hosts& hosts)
@@ -76,24 +73,20 @@
 
 std::optional<listed_hosts> decode_hosts(std::string_view text)
 {
-    return guarded(
-        text,
-        [](const json::object& from)
+    return guarded(text, [](const json::object& from) {
+        listed_hosts hosts;
+        for (const auto& item : from.at("proxies").as_array())
         {
-            listed_hosts hosts;
-            for (const auto& item : from.at("proxies").as_array())
-            {
-                const auto& one = item.as_object();
-                hosts.proxies.push_back(
-                    {std::string(one.at("name").as_string()),
-                     std::string(one.at("failure_domain").as_string()),
-                     address_from(one.at("caller")),
-                     address_from(one.at("peer"))});
-            }
-            for (const auto& item : from.at("leaving_upstreams").as_array())
-                hosts.leaving_upstreams.push_back(address_from(item));
-            return hosts;
-        });
+            const auto& one = item.as_object();
+            hosts.proxies.push_back(
+                {std::string(one.at("name").as_string()),
+                 std::string(one.at("failure_domain").as_string()),
+                 address_from(one.at("caller")), address_from(one.at("peer"))});
+        }
+        for (const auto& item : from.at("leaving_upstreams").as_array())
+            hosts.leaving_upstreams.push_back(address_from(item));
+        return hosts;
+    });
 }
 
 } // namespace plantainward::platform::wire
--- a/src/plantainward/session/token.cpp
+++ b/src/plantainward/session/token.cpp
@@ -86,9 +86,9 @@
                                std::string_view mac) const
 {
     return std::any_of(
-        m_keys.begin(), m_keys.end(),
-        [&](const std::string& key)
-        { return core::equal_in_constant_time(mac_of(key, payload), mac); });
+        m_keys.begin(), m_keys.end(), [&](const std::string& key) {
+            return core::equal_in_constant_time(mac_of(key, payload), mac);
+        });
 }
 
 std::optional<token> token_codec::decode(std::string_view text) const
--- a/src/plantainward/settings/setting.cpp
+++ b/src/plantainward/settings/setting.cpp
@@ -115,8 +115,7 @@
 std::optional<std::string> fault_of(const setting& one,
                                     const std::string& value)
 {
-    const auto is_one_of = [&](auto... names)
-    {
+    const auto is_one_of = [&](auto... names) {
         return ((value == names) || ...);
     };
     switch (one.type)
--- a/src/plantainward/upstream/http_gate.cpp
+++ b/src/plantainward/upstream/http_gate.cpp
@@ -63,20 +63,16 @@
         const std::lock_guard lock(m_mutex);
         m_connections[number] = made;
     }
-    made->open(timeout,
-               [this, made, number, timeout,
-                handler = std::move(handler)](bool ok) mutable
-               {
-                   if (!ok)
-                   {
-                       close(number);
-                       return handler(open_end::failed);
-                   }
-                   made->exchange(
-                       post("/session", "{}"), timeout,
+    made->open(timeout, [this, made, number, timeout,
+                         handler = std::move(handler)](bool ok) mutable {
+        if (!ok)
+        {
+            close(number);
+            return handler(open_end::failed);
+        }
+        made->exchange(post("/session", "{}"), timeout,
                        [this, number, handler = std::move(handler)](
-                           const http::exchange_result& result)
-                       {
+                           const http::exchange_result& result) {
                            const bool answered =
                                result.end == http::exchange_end::answered;
                            if (answered && result.status == status_ok)
@@ -85,7 +81,7 @@
                            handler(answered ? open_end::refused_by_limit
                                             : open_end::failed);
                        });
-               });
+    });
 }
 
 void http_gate::run(connection_number number, const run_order& order,
@@ -97,8 +93,7 @@
     one->exchange(
         post("/run", wire::encode(order)), timeout,
         [this, number,
-         handler = std::move(handler)](const http::exchange_result& exchange)
-        {
+         handler = std::move(handler)](const http::exchange_result& exchange) {
             auto result = to_run_result(exchange);
             if (result.end == run_end::lost || result.end == run_end::not_sent)
                 close(number);
@@ -128,8 +123,7 @@
     m_control_bytes += exchange_overhead + body.size();
     m_control->send(database, post("/control", std::move(body)), timeout,
                     [this, handler = std::move(handler)](
-                        const http::exchange_result& exchange)
-                    {
+                        const http::exchange_result& exchange) {
                         m_control_bytes += exchange.body.size();
                         handler(to_control_result(exchange));
                     });
--- a/src/plantainward/upstream/wire.cpp
+++ b/src/plantainward/upstream/wire.cpp
@@ -196,24 +196,21 @@
 
 std::optional<run_order> decode_run_order(std::string_view text)
 {
-    return guarded(text,
-                   [](const json::object& from)
-                   {
-                       run_order order;
-                       order.slot = number_or_zero<int>(from, "slot");
-                       const auto kind =
-                           run_kind_names.find(text_or_empty(from, "kind"));
-                       auto statements = statements_from(from.at("statements"));
-                       if (!kind || !statements)
-                           return std::optional<run_order>{};
-                       order.kind = *kind;
-                       order.term = number_or_zero<term_number>(from, "term");
-                       order.at_least = point_from(from, "at_least");
-                       order.id = text_or_empty(from, "id");
-                       order.digest = text_or_empty(from, "digest");
-                       order.statements = std::move(*statements);
-                       return std::optional(std::move(order));
-                   });
+    return guarded(text, [](const json::object& from) {
+        run_order order;
+        order.slot = number_or_zero<int>(from, "slot");
+        const auto kind = run_kind_names.find(text_or_empty(from, "kind"));
+        auto statements = statements_from(from.at("statements"));
+        if (!kind || !statements)
+            return std::optional<run_order>{};
+        order.kind = *kind;
+        order.term = number_or_zero<term_number>(from, "term");
+        order.at_least = point_from(from, "at_least");
+        order.id = text_or_empty(from, "id");
+        order.digest = text_or_empty(from, "digest");
+        order.statements = std::move(*statements);
+        return std::optional(std::move(order));
+    });
 }
 
 std::string encode(const run_result& result)
@@ -232,30 +229,27 @@
 
 std::optional<run_result> decode_run_result(std::string_view text)
 {
-    return guarded(text,
-                   [](const json::object& from)
-                   {
-                       run_result result;
-                       if (from.contains("refused"))
-                       {
-                           const auto kind = core::error_kind_named(
-                               text_or_empty(from, "refused"));
-                           if (!kind)
-                               return std::optional<run_result>{};
-                           result.end = run_end::refused;
-                           result.refusal = *kind;
-                           result.reason = text_or_empty(from, "reason");
-                           return std::optional(std::move(result));
-                       }
-                       result.end = run_end::answered;
-                       result.answer.results = results_from(from.at("results"));
-                       result.answer.seen = point_from(from, "seen");
-                       result.answer.replayed = flag(from, "replayed");
-                       result.answer.voided = flag(from, "voided");
-                       result.answer.in_transaction =
-                           flag(from, "in_transaction");
-                       return std::optional(std::move(result));
-                   });
+    return guarded(text, [](const json::object& from) {
+        run_result result;
+        if (from.contains("refused"))
+        {
+            const auto kind =
+                core::error_kind_named(text_or_empty(from, "refused"));
+            if (!kind)
+                return std::optional<run_result>{};
+            result.end = run_end::refused;
+            result.refusal = *kind;
+            result.reason = text_or_empty(from, "reason");
+            return std::optional(std::move(result));
+        }
+        result.end = run_end::answered;
+        result.answer.results = results_from(from.at("results"));
+        result.answer.seen = point_from(from, "seen");
+        result.answer.replayed = flag(from, "replayed");
+        result.answer.voided = flag(from, "voided");
+        result.answer.in_transaction = flag(from, "in_transaction");
+        return std::optional(std::move(result));
+    });
 }
 
 std::string encode(const control_order& order)
@@ -272,26 +266,22 @@
 
 std::optional<control_order> decode_control_order(std::string_view text)
 {
-    return guarded(text,
-                   [](const json::object& from)
-                   {
-                       control_order order;
-                       const auto kind =
-                           control_kind_names.find(text_or_empty(from, "kind"));
-                       if (!kind)
-                           return std::optional<control_order>{};
-                       order.kind = *kind;
-                       order.slot = number_or_zero<int>(from, "slot");
-                       order.term = number_or_zero<term_number>(from, "term");
-                       order.claimant = text_or_empty(from, "claimant");
-                       order.primary =
-                           core::parse_address(text_or_empty(from, "primary"))
-                               .value_or(core::address{});
-                       order.wait_for = point_from(from, "wait_for");
-                       order.wait = core::millis(
-                           number_or_zero<std::int64_t>(from, "wait_ms"));
-                       return std::optional(std::move(order));
-                   });
+    return guarded(text, [](const json::object& from) {
+        control_order order;
+        const auto kind = control_kind_names.find(text_or_empty(from, "kind"));
+        if (!kind)
+            return std::optional<control_order>{};
+        order.kind = *kind;
+        order.slot = number_or_zero<int>(from, "slot");
+        order.term = number_or_zero<term_number>(from, "term");
+        order.claimant = text_or_empty(from, "claimant");
+        order.primary = core::parse_address(text_or_empty(from, "primary"))
+                            .value_or(core::address{});
+        order.wait_for = point_from(from, "wait_for");
+        order.wait =
+            core::millis(number_or_zero<std::int64_t>(from, "wait_ms"));
+        return std::optional(std::move(order));
+    });
 }
 
 std::string encode(const control_result& result)
@@ -306,17 +296,14 @@
 
 std::optional<control_result> decode_control_result(std::string_view text)
 {
-    return guarded(
-        text,
-        [](const json::object& from)
-        {
-            control_result result;
-            result.end = flag(from, "accepted") ? control_end::accepted
-                                                : control_end::refused;
-            for (const auto& one : from.at("slots").as_array())
-                result.status.push_back(status_from(one.as_object()));
-            return std::optional(std::move(result));
-        });
+    return guarded(text, [](const json::object& from) {
+        control_result result;
+        result.end = flag(from, "accepted") ? control_end::accepted
+                                            : control_end::refused;
+        for (const auto& one : from.at("slots").as_array())
+            result.status.push_back(status_from(one.as_object()));
+        return std::optional(std::move(result));
+    });
 }
 
 } // namespace plantainward::upstream::wire
--- a/standins/database/database_server.cpp
+++ b/standins/database/database_server.cpp
@@ -32,8 +32,8 @@
            std::function<void()> work)
 {
     auto timer = std::make_shared<boost::asio::steady_timer>(io, delay);
-    timer->async_wait([timer, work = std::move(work)](boost::system::error_code)
-                      { work(); });
+    timer->async_wait(
+        [timer, work = std::move(work)](boost::system::error_code) { work(); });
 }
 
 http::response error(int status)
@@ -95,10 +95,9 @@
     const std::lock_guard lock(m_mutex);
     if (!m_database.open_session(from))
         return respond(error(503));
-    after(m_io, core::millis(m_faults.open_ms),
-          [respond = std::move(respond)] {
-              respond({200, "{}"});
-          });
+    after(m_io, core::millis(m_faults.open_ms), [respond = std::move(respond)] {
+        respond({200, "{}"});
+    });
 }
 
 void database_server::run(http::connection_id from, const std::string& body,
@@ -189,25 +188,21 @@
 {
     const auto now = core::steady::now();
     const auto report = status_now();
-    std::erase_if(m_status_waits,
-                  [&](const status_wait& wait)
-                  {
-                      const auto& slots = report.status;
-                      const auto index =
-                          static_cast<std::size_t>(wait.order.slot);
-                      const bool reached =
-                          index < slots.size() &&
-                          slots[index].last >= wait.order.wait_for;
-                      if (!reached && now < wait.until)
-                          return false;
-                      answer_late(wait.respond, wire::encode(report));
-                      return true;
-                  });
+    std::erase_if(m_status_waits, [&](const status_wait& wait) {
+        const auto& slots = report.status;
+        const auto index = static_cast<std::size_t>(wait.order.slot);
+        const bool reached =
+            index < slots.size() && slots[index].last >= wait.order.wait_for;
+        if (!reached && now < wait.until)
+            return false;
+        answer_late(wait.respond, wire::encode(report));
+        return true;
+    });
     std::erase_if(m_pull_waits,
                   [&](const pull_wait& wait) { return try_pull(wait); });
-    const bool lags = std::any_of(m_pull_waits.begin(), m_pull_waits.end(),
-                                  [](const pull_wait& wait)
-                                  { return wait.request.lag_ms > 0; });
+    const bool lags = std::any_of(
+        m_pull_waits.begin(), m_pull_waits.end(),
+        [](const pull_wait& wait) { return wait.request.lag_ms > 0; });
     if (!m_status_waits.empty() || !m_pull_waits.empty())
         schedule_answer_waits(lags ? core::millis(2) : wait_sweep);
 }
@@ -216,13 +211,11 @@
 {
     if (std::exchange(m_sweep_scheduled, true))
         return;
-    after(m_io, delay,
-          [self = shared_from_this()]
-          {
-              const std::lock_guard lock(self->m_mutex);
-              self->m_sweep_scheduled = false;
-              self->answer_waits();
-          });
+    after(m_io, delay, [self = shared_from_this()] {
+        const std::lock_guard lock(self->m_mutex);
+        self->m_sweep_scheduled = false;
+        self->answer_waits();
+    });
 }
 
 std::vector<log_entry>::size_type
@@ -230,9 +223,9 @@
 {
     const auto newest = core::steady::now() - lag;
     const auto& times = m_appended[static_cast<std::size_t>(slot)];
-    const auto end = std::upper_bound(times.begin(), times.end(), newest,
-                                      [](core::instant when, const auto& one)
-                                      { return when < one.second; });
+    const auto end = std::upper_bound(
+        times.begin(), times.end(), newest,
+        [](core::instant when, const auto& one) { return when < one.second; });
     return end == times.begin() ? 0 : std::prev(end)->first;
 }
 
@@ -275,16 +268,17 @@
         return;
     m_primaries[index] = primary;
     const auto generation = ++m_generations[index];
-    boost::asio::post(m_io, [self = shared_from_this(), slot, generation]
-                      { self->pull_once(slot, generation); });
+    boost::asio::post(m_io, [self = shared_from_this(), slot, generation] {
+        self->pull_once(slot, generation);
+    });
 }
 
 void database_server::pull_later(int slot, std::uint64_t generation,
                                  core::millis delay)
 {
-    after(m_io, delay,
-          [self = shared_from_this(), slot, generation]
-          { self->pull_once(slot, generation); });
+    after(m_io, delay, [self = shared_from_this(), slot, generation] {
+        self->pull_once(slot, generation);
+    });
 }
 
 void database_server::pull_once(int slot, std::uint64_t generation)
@@ -307,8 +301,7 @@
     m_client->send(
         primary, {"POST", "/pull", {}, encode(request)}, pull_timeout,
         [self = shared_from_this(), slot, index,
-         generation](const http::exchange_result& result)
-        {
+         generation](const http::exchange_result& result) {
             bool applied = false;
             {
                 const std::lock_guard lock(self->m_mutex);
@@ -336,13 +329,11 @@
     if (bad || !parsed.is_object())
         return respond(error(400));
     const auto& from = parsed.get_object();
-    const auto number = [&](std::string_view key, int& target)
-    {
+    const auto number = [&](std::string_view key, int& target) {
         if (const auto* found = from.if_contains(key))
             target = static_cast<int>(found->as_int64());
     };
-    const auto boolean = [&](std::string_view key, bool& target)
-    {
+    const auto boolean = [&](std::string_view key, bool& target) {
         if (const auto* found = from.if_contains(key))
             target = found->as_bool();
     };
--- a/standins/database/main.cpp
+++ b/standins/database/main.cpp
@@ -29,8 +29,9 @@
     auto server = http::server::listen(
         where, limits, io,
         [&](http::connection_id from, http::request message,
-            http::responder respond)
-        { database->handle(from, std::move(message), std::move(respond)); },
+            http::responder respond) {
+            database->handle(from, std::move(message), std::move(respond));
+        },
         [&](http::connection_id from) { database->handle_close(from); });
     if (!server)
     {
--- a/standins/platform/main.cpp
+++ b/standins/platform/main.cpp
@@ -25,8 +25,9 @@
         where ? http::server::listen(*where, {}, io,
                                      [&](http::connection_id,
                                          const http::request& message,
-                                         const http::responder& respond)
-                                     { state.handle(message, respond); })
+                                         const http::responder& respond) {
+                                         state.handle(message, respond);
+                                     })
               : std::nullopt;
     if (!server)
     {
--- a/standins/platform/platform_server.cpp
+++ b/standins/platform/platform_server.cpp
@@ -57,12 +57,10 @@
 {
     const auto row = name_after(message.target, table_prefix);
     const auto object = name_after(message.target, object_prefix);
-    const auto answer_row = [&](const platform::reply<platform::table_row>& r)
-    {
+    const auto answer_row = [&](const platform::reply<platform::table_row>& r) {
         respond(answer_of(r.end, platform::wire::encode(r.value)));
     };
-    const auto answer_text = [&](const platform::reply<std::string>& r)
-    {
+    const auto answer_text = [&](const platform::reply<std::string>& r) {
         respond(answer_of(r.end, r.value));
     };
     if (message.target == "/hosts" && message.method == "PUT")
@@ -72,9 +70,9 @@
         return respond({200, "{}"});
     }
     if (message.target == "/hosts")
-        return m_state.list_hosts(
-            [&](const auto& r)
-            { respond(answer_of(r.end, platform::wire::encode(r.value))); });
+        return m_state.list_hosts([&](const auto& r) {
+            respond(answer_of(r.end, platform::wire::encode(r.value)));
+        });
     if (!row.empty() && message.method == "PUT")
     {
         const auto wanted = platform::wire::decode_row(message.body);
--- a/tests/coordinator/at_most_once_tests.cpp
+++ b/tests/coordinator/at_most_once_tests.cpp
@@ -9,48 +9,40 @@
 
 const std::vector<fault_case> faults{
     {"the answer is lost after the commit",
-     [](world& w, int primary)
-     {
+     [](world& w, int primary) {
          w.lose_next_answer(primary);
      }},
     {"two answers are lost",
-     [](world& w, int primary)
-     {
+     [](world& w, int primary) {
          w.lose_next_answer(primary);
          w.lose_next_answer(primary);
      }},
     {"the primary is killed while the booking is under way",
-     [](world& w, int primary)
-     {
+     [](world& w, int primary) {
          w.after(core::millis(3), [&w, primary] { w.kill_database(primary); });
      }},
     {"the primary is frozen and wakes after the failover",
-     [](world& w, int primary)
-     {
+     [](world& w, int primary) {
          w.after(core::millis(3),
                  [&w, primary] { w.freeze_database(primary, true); });
          w.after(core::millis(2500),
                  [&w, primary] { w.freeze_database(primary, false); });
      }},
     {"the primary is cut off from its replicas",
-     [](world& w, int primary)
-     {
+     [](world& w, int primary) {
          w.cut_replication(primary, true);
      }},
     {"the coordinator dies while the booking is under way",
-     [](world& w, int)
-     {
+     [](world& w, int) {
          w.after(core::millis(6), [&w] { w.kill_host(0); });
      }},
     {"the coordinator pauses while the booking is under way",
-     [](world& w, int)
-     {
+     [](world& w, int) {
          w.after(core::millis(6),
                  [&w] { w.pause_host(0, core::millis(1500)); });
      }},
     {"the primary is cut off from the coordinator",
-     [](world& w, int primary)
-     {
+     [](world& w, int primary) {
          w.cut(0, primary, true);
      }},
 };
@@ -109,8 +101,9 @@
     std::vector<std::string> values;
     for (int gateway = 0; gateway < 2; ++gateway)
         fleet.send(gateway, add("count", "booking-1"),
-                   [&](const coordinator::caller_reply& reply)
-                   { values.push_back(value_of(reply)); });
+                   [&](const coordinator::caller_reply& reply) {
+                       values.push_back(value_of(reply));
+                   });
     fleet.run_for(core::millis(1000));
     CHECK(values == std::vector<std::string>({"1", "1"}));
 }
--- a/tests/coordinator/explorer_tests.cpp
+++ b/tests/coordinator/explorer_tests.cpp
@@ -46,13 +46,11 @@
 
     void step(int session)
     {
-        m_world.after(core::millis(1 + roll(40)),
-                      [this, session]
-                      {
-                          if (!m_running)
-                              return;
-                          start(session);
-                      });
+        m_world.after(core::millis(1 + roll(40)), [this, session] {
+            if (!m_running)
+                return;
+            start(session);
+        });
     }
 
     void start(int session)
@@ -96,8 +94,7 @@
     {
         m_world.send(
             static_cast<int>(roll(2)), request,
-            [=, this](const coordinator::caller_reply& reply)
-            {
+            [=, this](const coordinator::caller_reply& reply) {
                 auto seen = event;
                 seen.answered = m_world.now();
                 seen.ran = reply.error ? core::answer_for(*reply.error).ran
@@ -141,14 +138,12 @@
 
     void step()
     {
-        m_world.after(core::millis(50 + roll(900)),
-                      [this]
-                      {
-                          if (!m_running)
-                              return;
-                          strike();
-                          step();
-                      });
+        m_world.after(core::millis(50 + roll(900)), [this] {
+            if (!m_running)
+                return;
+            strike();
+            step();
+        });
     }
 
     void strike()
@@ -165,13 +160,15 @@
             break;
         case 1:
             m_world.cut_replication(database, true);
-            m_world.after(length, [=, this]
-                          { m_world.cut_replication(database, false); });
+            m_world.after(length, [=, this] {
+                m_world.cut_replication(database, false);
+            });
             break;
         case 2:
             m_world.freeze_database(database, true);
-            m_world.after(length, [=, this]
-                          { m_world.freeze_database(database, false); });
+            m_world.after(length, [=, this] {
+                m_world.freeze_database(database, false);
+            });
             break;
         case 3:
             m_world.kill_database(database);
--- a/tests/coordinator/limits_tests.cpp
+++ b/tests/coordinator/limits_tests.cpp
@@ -149,8 +149,9 @@
     int done = 0;
     for (int i = 0; i < 100; ++i)
         fleet.send(i % 2, add("key", ""),
-                   [&](const coordinator::caller_reply& reply)
-                   { done += reply.error ? 0 : 1; });
+                   [&](const coordinator::caller_reply& reply) {
+                       done += reply.error ? 0 : 1;
+                   });
     fleet.run_for(core::millis(3000));
     LONGS_EQUAL(100, done);
     CHECK(fleet.database(*fleet.primary()).most_sessions() <= 8);
--- a/tests/coordinator/not_run_tests.cpp
+++ b/tests/coordinator/not_run_tests.cpp
@@ -17,20 +17,17 @@
 
 const std::vector<refusal_case> refusals{
     {"no majority is left", core::error_kind::deadline_passed,
-     [](world& w, int primary)
-     {
+     [](world& w, int primary) {
          w.kill_database(primary);
          w.kill_database((primary + 1) % 3);
          w.run_for(core::millis(1500));
      }},
     {"the statement fails", core::error_kind::statement_failed,
-     [](world& w, int)
-     {
+     [](world& w, int) {
          w.ask(0, put("job/1", "taken", "other"));
      }},
     {"the coordinators are leaving", core::error_kind::unavailable,
-     [](world& w, int)
-     {
+     [](world& w, int) {
          w.coordinator_at(0).start_drain();
          w.coordinator_at(1).start_drain();
      }},
--- a/tests/coordinator/read_your_writes_tests.cpp
+++ b/tests/coordinator/read_your_writes_tests.cpp
@@ -12,50 +12,41 @@
      [](world&, int) {
      }},
     {"the replicas lag differently",
-     [](world& w, int primary)
-     {
+     [](world& w, int primary) {
          w.set_lag((primary + 1) % 3, core::millis(300));
          w.set_lag((primary + 2) % 3, core::millis(2000));
      }},
     {"one replica stops",
-     [](world& w, int primary)
-     {
+     [](world& w, int primary) {
          w.cut_replication((primary + 1) % 3, true);
      }},
     {"the primary is killed",
-     [](world& w, int primary)
-     {
+     [](world& w, int primary) {
          w.kill_database(primary);
      }},
     {"the primary is frozen",
-     [](world& w, int primary)
-     {
+     [](world& w, int primary) {
          w.freeze_database(primary, true);
      }},
     {"the primary is cut off from its replicas",
-     [](world& w, int primary)
-     {
+     [](world& w, int primary) {
          w.cut_replication(primary, true);
      }},
     {"the coordinator dies",
-     [](world& w, int)
-     {
+     [](world& w, int) {
          w.kill_host(0);
      }},
     {"the coordinator pauses",
-     [](world& w, int)
-     {
+     [](world& w, int) {
          w.pause_host(0, core::millis(1500));
      }},
     {"the coordinator dies and the primary with it",
-     [](world& w, int primary)
-     {
+     [](world& w, int primary) {
          w.kill_host(0);
          w.kill_database(primary);
      }},
     {"a replica is killed and the other lags",
-     [](world& w, int primary)
-     {
+     [](world& w, int primary) {
          w.kill_database((primary + 1) % 3);
          w.set_lag((primary + 2) % 3, core::millis(500));
      }},
--- a/tests/coordinator/replaced_primary_tests.cpp
+++ b/tests/coordinator/replaced_primary_tests.cpp
@@ -10,27 +10,23 @@
 /// Keeps a coordinator's view of the old primary while it is replaced.
 const std::vector<fault_case> replacements{
     {"the old primary is cut off from its replicas",
-     [](world& w, int primary)
-     {
+     [](world& w, int primary) {
          w.cut_replication(primary, true);
      }},
     {"the old primary is cut off from the other host and its replicas",
-     [](world& w, int primary)
-     {
+     [](world& w, int primary) {
          w.cut_replication(primary, true);
          w.cut(1, primary, true);
      }},
     {"the coordinator is paused across the whole failover",
-     [](world& w, int primary)
-     {
+     [](world& w, int primary) {
          w.pause_host(0, core::millis(3000));
          w.freeze_database(primary, true);
          w.run_for(core::millis(2900));
          w.freeze_database(primary, false);
      }},
     {"the coordinator sees the old primary only",
-     [](world& w, int primary)
-     {
+     [](world& w, int primary) {
          w.cut(0, (primary + 1) % 3, true);
          w.cut(0, (primary + 2) % 3, true);
          w.cut_replication(primary, true);
--- a/tests/coordinator/stated_age_tests.cpp
+++ b/tests/coordinator/stated_age_tests.cpp
@@ -17,28 +17,23 @@
 
 const std::vector<fault_case> faults{
     {"a replica stops",
-     [](world& w, int primary)
-     {
+     [](world& w, int primary) {
          w.cut_replication((primary + 1) % 3, true);
      }},
     {"a replica lags by 3 s",
-     [](world& w, int primary)
-     {
+     [](world& w, int primary) {
          w.set_lag((primary + 1) % 3, core::millis(3000));
      }},
     {"the primary is cut off from its replicas",
-     [](world& w, int primary)
-     {
+     [](world& w, int primary) {
          w.cut_replication(primary, true);
      }},
     {"the primary is frozen",
-     [](world& w, int primary)
-     {
+     [](world& w, int primary) {
          w.freeze_database(primary, true);
      }},
     {"the coordinator was paused",
-     [](world& w, int)
-     {
+     [](world& w, int) {
          w.pause_host(0, core::millis(1000));
      }},
 };
--- a/tests/coordinator/transaction_tests.cpp
+++ b/tests/coordinator/transaction_tests.cpp
@@ -60,30 +60,25 @@
 
 const std::vector<fault_case> deaths{
     {"the coordinator dies",
-     [](world& w, int)
-     {
+     [](world& w, int) {
          w.kill_host(0);
      }},
     {"the primary is killed",
-     [](world& w, int primary)
-     {
+     [](world& w, int primary) {
          w.kill_database(primary);
      }},
     {"the primary is frozen",
-     [](world& w, int primary)
-     {
+     [](world& w, int primary) {
          w.freeze_database(primary, true);
          w.run_for(core::millis(1500));
      }},
     {"the primary is cut off",
-     [](world& w, int primary)
-     {
+     [](world& w, int primary) {
          w.cut_replication(primary, true);
          w.run_for(core::millis(2500));
      }},
     {"the caller stays away until the idle bound",
-     [](world& w, int)
-     {
+     [](world& w, int) {
          w.run_for(core::millis(11'000));
      }},
 };
--- a/tests/core/error_kind_tests.cpp
+++ b/tests/core/error_kind_tests.cpp
@@ -33,8 +33,7 @@
 
 TEST(error_kind, a_failure_leaves_its_reason)
 {
-    const auto failing = []() -> std::optional<int>
-    {
+    const auto failing = []() -> std::optional<int> {
         return core::fail(core::error_kind::bad_token, "damaged");
     };
     CHECK_FALSE(failing().has_value());
--- a/tests/failover/failover_tests.cpp
+++ b/tests/failover/failover_tests.cpp
@@ -30,23 +30,19 @@
 
 const std::vector<gap_case> losses{
     {"killed", core::millis(500),
-     [](world& w, int primary)
-     {
+     [](world& w, int primary) {
          w.kill_database(primary);
      }},
     {"frozen", core::millis(1000),
-     [](world& w, int primary)
-     {
+     [](world& w, int primary) {
          w.freeze_database(primary, true);
      }},
     {"cut off from its replicas", core::millis(1000),
-     [](world& w, int primary)
-     {
+     [](world& w, int primary) {
          w.cut_replication(primary, true);
      }},
     {"cut off from all hosts", core::millis(1000),
-     [](world& w, int primary)
-     {
+     [](world& w, int primary) {
          for (int host = 0; host < 3; ++host)
              w.cut(host, primary, true);
      }},
@@ -119,8 +115,7 @@
         fleet.kill_database(*fleet.primary());
         const auto before = fleet.events.size();
         fleet.run_until(
-            [&]
-            {
+            [&] {
                 for (auto i = before; i < fleet.events.size(); ++i)
                     if (fleet.events[i].kind ==
                         observe::event_kind::claim_started)
--- a/tests/http/server_tests.cpp
+++ b/tests/http/server_tests.cpp
@@ -60,8 +60,7 @@
         server = http::server::listen(
             where, limits, io,
             [this](http::connection_id, const http::request& message,
-                   http::responder respond)
-            {
+                   http::responder respond) {
                 if (message.target == "/hold")
                 {
                     const std::lock_guard lock(mutex);
--- a/tests/intent/applier_tests.cpp
+++ b/tests/intent/applier_tests.cpp
@@ -25,12 +25,10 @@
     std::string head_writer()
     {
         std::string writer;
-        platform.read_row(std::string(intent::head_row),
-                          [&](const auto& row) {
-                              writer = intent::decode_head(row.value.value,
-                                                           row.value.version)
-                                           ->writer;
-                          });
+        platform.read_row(std::string(intent::head_row), [&](const auto& row) {
+            writer =
+                intent::decode_head(row.value.value, row.value.version)->writer;
+        });
         return writer;
     }
 };
--- a/tests/membership/membership_tests.cpp
+++ b/tests/membership/membership_tests.cpp
@@ -83,11 +83,10 @@
 
     bool all_see(std::size_t count)
     {
-        return std::all_of(m_members.begin(), m_members.end(),
-                           [&](auto& one) {
-                               return m_stopped.contains(one.first) ||
-                                      one.second.live().size() == count;
-                           });
+        return std::all_of(m_members.begin(), m_members.end(), [&](auto& one) {
+            return m_stopped.contains(one.first) ||
+                   one.second.live().size() == count;
+        });
     }
 
     std::map<int, membership::membership> m_members;
--- a/tests/peer/frame_tests.cpp
+++ b/tests/peer/frame_tests.cpp
@@ -74,8 +74,7 @@
         server = peer::peer_server::listen(
             io, where,
             [this](frame_kind, const std::string& payload,
-                   const peer::frame_responder& respond)
-            {
+                   const peer::frame_responder& respond) {
                 const std::lock_guard lock(mutex);
                 if (payload == "answer")
                     return respond(frame_kind::reply, payload);
@@ -115,8 +114,7 @@
     std::map<std::string, std::string> got;
     for (const char* text : {"one", "two", "three"})
         client.call(where, frame_kind::request, text, core::millis(2000),
-                    [&, text](call_end, const frame& answer)
-                    {
+                    [&, text](call_end, const frame& answer) {
                         const std::lock_guard lock(mutex);
                         got[text] = answer.payload;
                     });
@@ -135,8 +133,7 @@
 TEST(peer_link, a_late_answer_goes_nowhere)
 {
     std::vector<std::pair<call_end, std::string>> got;
-    const auto record = [&](call_end end, const frame& answer)
-    {
+    const auto record = [&](call_end end, const frame& answer) {
         const std::lock_guard lock(mutex);
         got.emplace_back(end, answer.payload);
     };
@@ -154,9 +151,7 @@
 {
     std::optional<call_end> got;
     client.call({"127.0.0.1", 17899}, frame_kind::request, "x",
-                core::millis(1000),
-                [&](call_end end, const frame&)
-                {
+                core::millis(1000), [&](call_end end, const frame&) {
                     const std::lock_guard lock(mutex);
                     got = end;
                 });
--- a/tests/platform/platform_tests.cpp
+++ b/tests/platform/platform_tests.cpp
@@ -37,9 +37,9 @@
     platform::reply<platform::table_row>
     write(const char* name, std::uint64_t expected, const char* value)
     {
-        return get<platform::table_row>(
-            [&](auto handler)
-            { m_services.compare_and_set(name, expected, value, handler); });
+        return get<platform::table_row>([&](auto handler) {
+            m_services.compare_and_set(name, expected, value, handler);
+        });
     }
 
     void check_all()
@@ -49,9 +49,9 @@
         CHECK(write("row", 0, "b").end == platform_end::conflict);
         CHECK(write("row", 1, "c").value.version == 2);
         CHECK(read("row").value.value == "c");
-        const auto put = get<std::string>(
-            [&](auto handler)
-            { m_services.put_object("key", "body \"x\"\n", handler); });
+        const auto put = get<std::string>([&](auto handler) {
+            m_services.put_object("key", "body \"x\"\n", handler);
+        });
         CHECK(put.end == platform_end::ok);
         const auto got = get<std::string>(
             [&](auto handler) { m_services.get_object("key", handler); });
@@ -100,8 +100,9 @@
         server = http::server::listen(where, {}, io,
                                       [this](http::connection_id,
                                              const http::request& message,
-                                             const http::responder& respond)
-                                      { state.handle(message, respond); });
+                                             const http::responder& respond) {
+                                          state.handle(message, respond);
+                                      });
         CHECK(server.has_value());
     }
 
@@ -112,8 +113,7 @@
 
     platform_contract<platform::http_platform> make_contract()
     {
-        return {services, [this](const std::function<bool()>& condition)
-                {
+        return {services, [this](const std::function<bool()>& condition) {
                     while (!condition())
                         io.run_one_for(core::millis(10));
                 }};
--- a/tests/settings/settings_tests.cpp
+++ b/tests/settings/settings_tests.cpp
@@ -65,8 +65,7 @@
 
 TEST(settings_table, a_flag_goes_before_a_variable_and_that_before_the_default)
 {
-    const auto variable = [](const std::string& name)
-    {
+    const auto variable = [](const std::string& name) {
         return name == "PLANTAINWARD_THREADS" ? std::optional<std::string>("9")
                                               : std::nullopt;
     };
--- a/tests/support/world.cpp
+++ b/tests/support/world.cpp
@@ -149,18 +149,14 @@
 
 void world::tick_host(int host, std::uint64_t incarnation)
 {
-    after(tick,
-          [this, host, incarnation]
-          {
-              at_host(host, incarnation,
-                      [this, host, incarnation]
-                      {
-                          auto& one = m_hosts[host];
-                          carry_out(host, one.coordinator->on_tick(m_now));
-                          carry_out(host, one.monitor->on_tick(m_now));
-                          tick_host(host, incarnation);
-                      });
-          });
+    after(tick, [this, host, incarnation] {
+        at_host(host, incarnation, [this, host, incarnation] {
+            auto& one = m_hosts[host];
+            carry_out(host, one.coordinator->on_tick(m_now));
+            carry_out(host, one.monitor->on_tick(m_now));
+            tick_host(host, incarnation);
+        });
+    });
 }
 
 void world::at_host(int host, std::uint64_t incarnation,
@@ -174,27 +170,26 @@
     const auto wait =
         std::chrono::duration_cast<core::millis>(one.paused_until - m_now);
     after(wait + core::millis(1),
-          [this, host, incarnation, work = std::move(work)]() mutable
-          { at_host(host, incarnation, std::move(work)); });
+          [this, host, incarnation, work = std::move(work)]() mutable {
+              at_host(host, incarnation, std::move(work));
+          });
 }
 
 void world::at_database(int host, int database, core::instant when,
                         std::function<void()> work, std::function<void()> reset)
 {
     const auto wait = std::chrono::duration_cast<core::millis>(when - m_now);
-    after(wait,
-          [this, host, database, work = std::move(work),
-           reset = std::move(reset)]() mutable
-          {
-              auto& one = m_databases[database];
-              if (m_cuts.contains({host, database}))
-                  return;
-              if (one.down)
-                  return reset();
-              if (one.frozen)
-                  return one.held.push_back(std::move(work));
-              work();
-          });
+    after(wait, [this, host, database, work = std::move(work),
+                 reset = std::move(reset)]() mutable {
+        auto& one = m_databases[database];
+        if (m_cuts.contains({host, database}))
+            return;
+        if (one.down)
+            return reset();
+        if (one.frozen)
+            return one.held.push_back(std::move(work));
+        work();
+    });
 }
 
 void world::carry_out(int host, const coordinator::actions& todo)
@@ -218,8 +213,7 @@
             control(
                 host, static_cast<int>(poll->database), order, poll->timeout,
                 [this, host, database = poll->database, slot = poll->slot,
-                 sent = m_now](const upstream::control_result& result)
-                {
+                 sent = m_now](const upstream::control_result& result) {
                     carry_out(host, m_hosts[host].coordinator->on_poll(
                                         database, slot, result, sent, m_now));
                 });
@@ -252,29 +246,23 @@
     const auto incarnation = m_hosts[host].incarnation;
     m_hosts[host].connections[number] = {database, m_now};
     const auto done = std::make_shared<bool>(false);
-    const auto end =
-        [this, host, incarnation, number, done](upstream::open_end how)
-    {
-        at_host(host, incarnation,
-                [this, host, number, done, how]
-                {
-                    if (std::exchange(*done, true))
-                        return;
-                    carry_out(host, m_hosts[host].coordinator->on_opened(
-                                        number, how, m_now));
-                });
+    const auto end = [this, host, incarnation, number,
+                      done](upstream::open_end how) {
+        at_host(host, incarnation, [this, host, number, done, how] {
+            if (std::exchange(*done, true))
+                return;
+            carry_out(host,
+                      m_hosts[host].coordinator->on_opened(number, how, m_now));
+        });
     };
     at_database(
         host, database, m_now + delay(),
-        [this, database, number, end]
-        {
+        [this, database, number, end] {
             const bool ok = m_databases[database].state->open_session(number);
-            after(open_time,
-                  [end, ok]
-                  {
-                      end(ok ? upstream::open_end::opened
-                             : upstream::open_end::refused_by_limit);
-                  });
+            after(open_time, [end, ok] {
+                end(ok ? upstream::open_end::opened
+                       : upstream::open_end::refused_by_limit);
+            });
         },
         [end] { end(upstream::open_end::failed); });
     after(core::millis(1000), [end] { end(upstream::open_end::failed); });
@@ -288,11 +276,10 @@
     const auto found = mine.connections.find(number);
     if (found == mine.connections.end())
     {
-        at_host(host, incarnation,
-                [this, host, number] {
-                    carry_out(host, m_hosts[host].coordinator->on_run(
-                                        number, {}, m_now));
-                });
+        at_host(host, incarnation, [this, host, number] {
+            carry_out(host,
+                      m_hosts[host].coordinator->on_run(number, {}, m_now));
+        });
         return;
     }
     const int database = found->second.first;
@@ -300,12 +287,10 @@
     const auto when = std::max(found->second.second, m_now + delay());
     found->second.second = when;
     const auto done = std::make_shared<bool>(false);
-    const auto end =
-        [this, host, incarnation, number, done](upstream::run_result result)
-    {
+    const auto end = [this, host, incarnation, number,
+                      done](upstream::run_result result) {
         at_host(host, incarnation,
-                [this, host, number, done, result = std::move(result)]
-                {
+                [this, host, number, done, result = std::move(result)] {
                     if (std::exchange(*done, true))
                         return;
                     if (result.end == run_end::lost)
@@ -318,8 +303,7 @@
     lost.end = run_end::lost;
     at_database(
         host, database, when,
-        [this, host, database, number, order = action.order, end]
-        {
+        [this, host, database, number, order = action.order, end] {
             auto& one = m_databases[database];
             const auto result = one.state->run(number, order);
             ++one.orders_run;
@@ -328,12 +312,10 @@
                 --one.answers_to_lose;
                 return;
             }
-            after(delay(),
-                  [this, host, database, end, result]
-                  {
-                      if (!m_cuts.contains({host, database}))
-                          end(result);
-                  });
+            after(delay(), [this, host, database, end, result] {
+                if (!m_cuts.contains({host, database}))
+                    end(result);
+            });
         },
         [end, lost] { end(lost); });
     after(action.timeout, [end, lost] { end(lost); });
@@ -350,11 +332,9 @@
     const auto when = std::max(last, m_now + delay());
     // A cut delays the end of the session; the database drops it in the end.
     after(std::chrono::duration_cast<core::millis>(when - m_now),
-          [this, database = database, connection]
-          {
+          [this, database = database, connection] {
               auto& one = m_databases[database];
-              const auto end = [this, database, connection]
-              {
+              const auto end = [this, database, connection] {
                   m_databases[database].state->close_session(connection);
               };
               if (one.frozen)
@@ -389,12 +369,10 @@
     if (last >= order.wait_for || m_now >= until)
         return answer(std::move(result));
     after(core::millis(1),
-          [this, database, order, until, answer = std::move(answer)]() mutable
-          {
+          [this, database, order, until, answer = std::move(answer)]() mutable {
               auto& one = m_databases[database];
               auto again = [this, database, order, until,
-                            answer = std::move(answer)]() mutable
-              {
+                            answer = std::move(answer)]() mutable {
                   answer_status(database, order, until, std::move(answer));
               };
               if (one.down)
@@ -412,27 +390,21 @@
 {
     const auto incarnation = m_hosts[host].incarnation;
     const auto done = std::make_shared<bool>(false);
-    const auto end =
-        [this, host, incarnation, done,
-         handler = std::move(handler)](upstream::control_result result)
-    {
-        at_host(host, incarnation,
-                [done, handler, result = std::move(result)]
-                {
-                    if (!std::exchange(*done, true))
-                        handler(result);
-                });
+    const auto end = [this, host, incarnation, done,
+                      handler =
+                          std::move(handler)](upstream::control_result result) {
+        at_host(host, incarnation, [done, handler, result = std::move(result)] {
+            if (!std::exchange(*done, true))
+                handler(result);
+        });
     };
     at_database(
         host, database, m_now + delay(),
-        [this, host, database, order, end]
-        {
-            const auto answer =
-                [this, host, database, end](upstream::control_result result)
-            {
+        [this, host, database, order, end] {
+            const auto answer = [this, host, database,
+                                 end](upstream::control_result result) {
                 after(delay(),
-                      [this, host, database, end, result = std::move(result)]
-                      {
+                      [this, host, database, end, result = std::move(result)] {
                           if (!m_cuts.contains({host, database}))
                               end(result);
                       });
@@ -456,8 +428,7 @@
             control(
                 host, static_cast<int>(probe->database), {}, probe->timeout,
                 [this, host, database = probe->database,
-                 sent = m_now](const upstream::control_result& result)
-                {
+                 sent = m_now](const upstream::control_result& result) {
                     auto& one = m_hosts[host];
                     carry_out(host,
                               one.monitor->on_probe(database, result, m_now));
@@ -470,8 +441,7 @@
                 host, static_cast<int>(order->database), order->order,
                 order->timeout,
                 [this, host, database = order->database, claim = order->claim,
-                 sent = m_now](const upstream::control_result& result)
-                {
+                 sent = m_now](const upstream::control_result& result) {
                     auto& one = m_hosts[host];
                     carry_out(host, one.monitor->on_control(database, claim,
                                                             result, m_now));
@@ -492,55 +462,44 @@
     {
         if (host == from)
             continue;
-        after(delay(),
-              [this, from, host, what, incarnation = m_hosts[host].incarnation]
-              {
-                  at_host(host, incarnation,
-                          [this, from, host, what]
-                          {
-                              carry_out(host, m_hosts[host].monitor->on_opinion(
-                                                  host_named(from).name, what,
-                                                  m_now));
-                          });
-              });
+        after(delay(), [this, from, host, what,
+                        incarnation = m_hosts[host].incarnation] {
+            at_host(host, incarnation, [this, from, host, what] {
+                carry_out(host, m_hosts[host].monitor->on_opinion(
+                                    host_named(from).name, what, m_now));
+            });
+        });
     }
 }
 
 void world::replicate(int database, int slot)
 {
-    after(pull_interval,
-          [this, database, slot]
-          {
-              auto& one = m_databases[database];
-              const auto index = static_cast<std::size_t>(slot);
-              const auto source = one.follows[index];
-              const auto works = [this](int which)
-              {
-                  const auto& it = m_databases[which];
-                  return !it.down && !it.frozen && !it.replication_cut;
-              };
-              const bool can_pull = source && *source != database &&
-                                    works(database) && works(*source);
-              if (!can_pull || one.pulling[index])
-                  return replicate(database, slot);
-              const auto order = one.state->member(slot).make_pull();
-              const auto reply =
-                  m_databases[*source].state->member(slot).serve_pull(
-                      order,
-                      m_databases[*source].state->member(slot).log().size(),
-                      64);
-              one.pulling[index] = true;
-              after(one.lag + delay(),
-                    [this, database, slot, index, reply, source, works]
-                    {
-                        auto& mine = m_databases[database];
-                        mine.pulling[index] = false;
-                        if (works(database) && mine.follows[index] == source &&
-                            mine.state->member(slot).apply_pull(reply))
-                            mine.contact[index] = m_now;
-                    });
-              replicate(database, slot);
-          });
+    after(pull_interval, [this, database, slot] {
+        auto& one = m_databases[database];
+        const auto index = static_cast<std::size_t>(slot);
+        const auto source = one.follows[index];
+        const auto works = [this](int which) {
+            const auto& it = m_databases[which];
+            return !it.down && !it.frozen && !it.replication_cut;
+        };
+        const bool can_pull =
+            source && *source != database && works(database) && works(*source);
+        if (!can_pull || one.pulling[index])
+            return replicate(database, slot);
+        const auto order = one.state->member(slot).make_pull();
+        const auto reply = m_databases[*source].state->member(slot).serve_pull(
+            order, m_databases[*source].state->member(slot).log().size(), 64);
+        one.pulling[index] = true;
+        after(one.lag + delay(),
+              [this, database, slot, index, reply, source, works] {
+                  auto& mine = m_databases[database];
+                  mine.pulling[index] = false;
+                  if (works(database) && mine.follows[index] == source &&
+                      mine.state->member(slot).apply_pull(reply))
+                      mine.contact[index] = m_now;
+              });
+        replicate(database, slot);
+    });
 }
 
 void world::send(int gateway, coordinator::caller_request request,
@@ -570,42 +529,32 @@
     const int host = host_index(*step.to);
     const auto incarnation = m_hosts[host].incarnation;
     const auto done = std::make_shared<bool>(false);
-    const auto end = [this, call, done](plantainward::peer::call_end how,
-                                        const coordinator::caller_reply& reply)
-    {
+    const auto end = [this, call,
+                      done](plantainward::peer::call_end how,
+                            const coordinator::caller_reply& reply) {
         if (!std::exchange(*done, true))
             step_gateway(call, call->forward.next(how, reply, m_now));
     };
-    after(delay(),
-          [this, call, host, incarnation, end]
-          {
-              using plantainward::peer::call_end;
-              if (m_hosts[host].incarnation != incarnation)
-                  return end(call_end::not_sent, {});
-              at_host(
-                  host, incarnation,
-                  [this, call, host, end]
-                  {
-                      auto& one = m_hosts[host];
-                      auto request = call->request;
-                      request.time_left =
-                          std::max(core::millis(1),
-                                   std::chrono::duration_cast<core::millis>(
-                                       call->deadline - m_now));
-                      const auto number = ++one.last_number;
-                      one.pending[number] =
-                          [this, end](const coordinator::caller_reply& reply)
-                      {
-                          after(delay(),
-                                [end, reply] {
-                                    end(plantainward::peer::call_end::answered,
-                                        reply);
-                                });
-                      };
-                      carry_out(host, one.coordinator->submit(number, request,
-                                                              m_now));
-                  });
-          });
+    after(delay(), [this, call, host, incarnation, end] {
+        using plantainward::peer::call_end;
+        if (m_hosts[host].incarnation != incarnation)
+            return end(call_end::not_sent, {});
+        at_host(host, incarnation, [this, call, host, end] {
+            auto& one = m_hosts[host];
+            auto request = call->request;
+            request.time_left = std::max(
+                core::millis(1), std::chrono::duration_cast<core::millis>(
+                                     call->deadline - m_now));
+            const auto number = ++one.last_number;
+            one.pending[number] =
+                [this, end](const coordinator::caller_reply& reply) {
+                    after(delay(), [end, reply] {
+                        end(plantainward::peer::call_end::answered, reply);
+                    });
+                };
+            carry_out(host, one.coordinator->submit(number, request, m_now));
+        });
+    });
     const auto left =
         std::chrono::duration_cast<core::millis>(call->deadline - m_now);
     after(std::max(left, core::millis(0)) + core::millis(200),
@@ -662,8 +611,9 @@
     auto& one = m_databases[database];
     one.down = false;
     for (auto& host : m_hosts)
-        std::erase_if(host.connections, [&](const auto& item)
-                      { return item.second.first == database; });
+        std::erase_if(host.connections, [&](const auto& item) {
+            return item.second.first == database;
+        });
 }
 
 void world::pause_host(int host, core::millis duration)
--- a/tests/upstream/gate_contract.hpp
+++ b/tests/upstream/gate_contract.hpp
@@ -47,9 +47,9 @@
     upstream::control_result control(const upstream::control_order& order)
     {
         std::optional<upstream::control_result> got;
-        m_gate.control(m_where, order, core::millis(2000),
-                       [&](upstream::control_result end)
-                       { got = std::move(end); });
+        m_gate.control(
+            m_where, order, core::millis(2000),
+            [&](upstream::control_result end) { got = std::move(end); });
         m_wait([&] { return got.has_value(); });
         return *got;
     }
--- a/tests/upstream/gate_tests.cpp
+++ b/tests/upstream/gate_tests.cpp
@@ -75,8 +75,8 @@
 {
     standin::database database(1, 3);
     fake_gate gate(database);
-    contract::gate_contract<fake_gate>(gate, where, [](const auto&) {})
-        .check_all();
+    contract::gate_contract<fake_gate>(gate, where, [](const auto&) {
+    }).check_all();
 }
 
 TEST_GROUP(http_gate)
@@ -93,8 +93,9 @@
         server = http::server::listen(
             where, {}, io,
             [this](http::connection_id from, const http::request& message,
-                   http::responder respond)
-            { database->handle(from, message, std::move(respond)); },
+                   http::responder respond) {
+                database->handle(from, message, std::move(respond));
+            },
             [this](http::connection_id from) { database->handle_close(from); });
         CHECK(server.has_value());
     }
@@ -112,9 +113,7 @@
 
     contract::gate_contract<upstream::http_gate> make_contract()
     {
-        return {gate, where,
-                [this](const auto& condition)
-                {
+        return {gate, where, [this](const auto& condition) {
                     run_until(io, condition);
                 }};
     }
