--- a/bench/fleet.hpp
+++ b/bench/fleet.hpp
@@ -64,6 +64,8 @@
     process& platform() { return *m_platform; }
     void set_platform_faults(const std::string& body) const;
     void list_hosts(const std::vector<core::address>& leaving) const;
+    /// The intent file of the shape, with some databases leaving.
+    std::string intent_text(const std::vector<int>& leaving) const;
     /// Applies an intent, with some databases leaving; the new revision.
     std::optional<std::uint64_t> apply(const std::vector<int>& leaving,
                                        bool push) const;
@@ -79,7 +81,6 @@
 
     bool start_all();
     bool wait_ready() const;
-    std::string intent_text(const std::vector<int>& leaving) const;
     core::host host(int proxy) const;
 
     shape m_form;
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -30,7 +30,8 @@
     {"failover", run_failover},     {"reads", run_reads},
     {"throughput", run_throughput}, {"overload", run_overload},
     {"config", run_config},         {"leaving", run_leaving},
-    {"drain", run_drain},           {"idle", run_idle}};
+    {"drain", run_drain},           {"idle", run_idle},
+    {"scale", run_scale},           {"callers", run_callers}};
 
 void write_file(const std::string& name, const std::string& text)
 {
@@ -45,7 +46,7 @@
     {
         std::cerr << "plantainward_bench: unknown experiment '" << name
                   << "'; one of failover, reads, throughput, overload, config, "
-                     "leaving, drain, idle\n";
+                     "leaving, drain, idle, scale, callers\n";
         return exit_usage;
     }
     chosen.logs += "/" + name;
@@ -74,7 +75,7 @@
     if (argc == 4 && std::string(argv[1]) == "--serve-empty")
         return bench::serve_empty(argv[2], std::atoi(argv[3]));
     TCLAP::CmdLine line("Experiments: failover, reads, throughput, overload, "
-                        "config, leaving, drain, idle",
+                        "config, leaving, drain, idle, scale, callers",
                         ' ', "0.1.0");
     TCLAP::UnlabeledValueArg<std::string> experiment(
         "experiment", "what to measure", true, "", "experiment", line);
--- a/bench/options.hpp
+++ b/bench/options.hpp
@@ -33,5 +33,7 @@
 report run_leaving(const options& chosen);
 report run_drain(const options& chosen);
 report run_idle(const options& chosen);
+report run_scale(const options& chosen);
+report run_callers(const options& chosen);
 
 } // namespace bench
--- a/bench/process.cpp
+++ b/bench/process.cpp
@@ -85,10 +85,10 @@
     wait();
 }
 
-process_usage process::usage() const
+process_usage process::usage_of(pid_t id)
 {
     process_usage used;
-    std::ifstream stat("/proc/" + std::to_string(m_id) + "/stat");
+    std::ifstream stat("/proc/" + std::to_string(id) + "/stat");
     std::string text;
     std::getline(stat, text);
     std::istringstream fields(text.substr(text.rfind(')') + 2));
@@ -100,7 +100,7 @@
     fields >> user >> system;
     used.cpu_seconds =
         (user + system) / static_cast<double>(::sysconf(_SC_CLK_TCK));
-    std::ifstream statm("/proc/" + std::to_string(m_id) + "/statm");
+    std::ifstream statm("/proc/" + std::to_string(id) + "/statm");
     double pages = 0;
     statm >> pages >> pages;
     used.rss_mb =
--- a/bench/process.hpp
+++ b/bench/process.hpp
@@ -39,7 +39,10 @@
     void kill();
 
     pid_t id() const { return m_id; }
-    process_usage usage() const;
+    process_usage usage() const { return usage_of(m_id); }
+
+    /// What any process has used.
+    static process_usage usage_of(pid_t id);
 
 private:
     explicit process(pid_t id) : m_id(id) {}
--- a/programs/plantainwardd/main.cpp
+++ b/programs/plantainwardd/main.cpp
@@ -1,5 +1,6 @@
 // plantainwardd: the proxy, one a host.
 
+#include <plantainward/core/error_page.hpp>
 #include <plantainward/core/last_reason.hpp>
 #include <plantainward/daemon/node.hpp>
 #include <plantainward/observe/log.hpp>
@@ -36,7 +37,8 @@
         std::cout << "  --" << one.name << "  " << one.meaning << " ["
                   << (one.fallback.empty() ? "must be given" : one.fallback)
                   << "]\n";
-    std::cout << "  --version, --help, --print-settings, --settings-page\n\n"
+    std::cout << "  --version, --help, --print-settings, --settings-page, "
+                 "--errors-page\n\n"
                  "Each flag has a variable, such as PLANTAINWARD_HOST_NAME.\n"
                  "Exit codes: 0 graceful shutdown, 1 cannot start, 2 bad "
                  "setting.\n";
@@ -53,6 +55,8 @@
         std::cout << "plantainwardd 0.1.0\n";
     else if (asks("--settings-page"))
         std::cout << settings::settings_page();
+    else if (asks("--errors-page"))
+        std::cout << core::error_page();
     else
         return false;
     return true;
--- a/src/plantainward/daemon/routing_table.cpp
+++ b/src/plantainward/daemon/routing_table.cpp
@@ -3,6 +3,7 @@
 #include <plantainward/core/rendezvous.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace plantainward::daemon
 {
@@ -20,9 +21,13 @@
     for (const auto& one : live)
         m_hosts[one.name] = one;
     for (const auto& service : intent.services)
-        m_routes[service.layout.name] = {
-            service,
-            core::rank_hosts(service.layout.name, live, watchers_per_service)};
+    {
+        auto ranked =
+            core::rank_hosts(service.layout.name, live, watchers_per_service);
+        ranked.resize(std::min(ranked.size(), ranked_per_service));
+        ranked.shrink_to_fit();
+        m_routes[service.layout.name] = {service, std::move(ranked)};
+    }
 }
 
 const service_route* routing_table::find(const std::string& service) const
--- a/src/plantainward/daemon/routing_table.hpp
+++ b/src/plantainward/daemon/routing_table.hpp
@@ -14,12 +14,15 @@
 /// Hosts that watch each service; the first one coordinates it.
 inline constexpr std::size_t watchers_per_service = 3;
 
+/// Hosts kept for each service, to fall back on one after the other.
+inline constexpr std::size_t ranked_per_service = 8;
+
 /// Who serves one service.
 struct service_route
 {
     intent::service_intent intent;
-    /// Hosts in the order in which they coordinate; the first ones in
-    /// different failure domains.
+    /// The first hosts in the order in which they coordinate; those that watch
+    /// are in different failure domains.
     std::vector<core::host> ranked;
 
     /// The first hosts, which watch.
--- a/tests/peer/frame_tests.cpp
+++ b/tests/peer/frame_tests.cpp
@@ -39,7 +39,8 @@
     auto bytes = peer::encode({frame_kind::reply, 42, "payload"});
     bytes[4] = 9;
     CHECK_FALSE(peer::decode_header(bytes).has_value());
-    CHECK_FALSE(peer::decode_header("\xff\xff\xff\xff\x01").has_value());
+    CHECK_FALSE(
+        peer::decode_header(std::string(4, '\xff') + '\x01').has_value());
     CHECK_FALSE(peer::decode_body("short").has_value());
 }
 
@@ -162,7 +163,7 @@
 TEST(peer_link, malformed_frames_are_counted_and_end_the_link)
 {
     support::raw_client raw(where);
-    raw.send("\x01\x00\x00\x00\x09");
+    raw.send(std::string("\x01\x00\x00\x00\x09", 5));
     raw.read_to_end();
     CHECK(wait_for([&] { return dropped == 1; }));
 }
