--- a/tests/failover/failover_tests.cpp
+++ b/tests/failover/failover_tests.cpp
@@ -193,9 +193,15 @@
         const int first = *fleet.primary();
         fleet.kill_database(first);
         CHECK(gap_after(fleet) <= core::millis(500));
-        fleet.run_for(core::millis(3000));
+        fleet.run_for(core::millis(2400));
         fleet.restart_database(first);
-        fleet.run_for(core::millis(300));
+        // Long enough to follow again, shorter than the longest backoff.
+        fleet.run_until(
+            [&] {
+                return fleet.database(first).member(0).status().last ==
+                       fleet.database(*fleet.primary()).member(0).status().last;
+            },
+            core::millis(2000));
         fleet.kill_database(*fleet.primary());
         CHECK(gap_after(fleet) <= core::millis(200));
     }
