--- a/src/plantainward/daemon/configuration.hpp
+++ b/src/plantainward/daemon/configuration.hpp
@@ -86,6 +86,8 @@
     /// Takes a revision; true when it is in force now or was before.
     bool offer(const peer::revision_document& document, const char* source)
     {
+        // Revisions are handed on in the order in which they were accepted.
+        const std::lock_guard order(m_order_mutex);
         std::optional<intent::accepted_revision> accepted;
         {
             const std::lock_guard lock(m_mutex);
@@ -165,6 +167,7 @@
     observers m_seen;
     std::string m_host;
     revision_handler m_on_revision;
+    std::mutex m_order_mutex;
     mutable std::mutex m_mutex;
     intent::revision_keeper m_keeper;
     core::instant m_last_read;
--- a/src/plantainward/daemon/node.cpp
+++ b/src/plantainward/daemon/node.cpp
@@ -325,12 +325,13 @@
 
 void node::impl::rebuild_routes()
 {
+    // One at a time, so that an older view never replaces a newer one.
+    const std::lock_guard lock(routes_mutex);
     std::vector<core::host> live;
     {
-        const std::lock_guard lock(members_mutex);
+        const std::lock_guard members_lock(members_mutex);
         live = members.live();
     }
-    const std::lock_guard lock(routes_mutex);
     services.set_routes(std::make_shared<const routing_table>(intent, live));
 }
 
