--- a/bench/overload.cpp
+++ b/bench/overload.cpp
@@ -1,6 +1,8 @@
 #include "load.hpp"
 #include "options.hpp"
 
+#include <sstream>
+
 namespace bench
 {
 
@@ -81,10 +83,11 @@
         figure += tag;
         figure += "_per_s";
         out[figure] = rate;
-        progress(name + " at " + tag + ": " + std::to_string(rate) +
-                 " in time, " + std::to_string(count.refused.load()) +
-                 " refused" + kinds_of(count) + ", " +
-                 std::to_string(count.late.load()) + " late");
+        std::ostringstream line_text;
+        line_text << name << " at " << tag << ": " << rate << " in time, "
+                  << count.refused << " refused" << kinds_of(count) << ", "
+                  << count.late << " late";
+        progress(line_text.str());
     }
     return line;
 }
