--- a/src/plantainward/coordinator/request.hpp
+++ b/src/plantainward/coordinator/request.hpp
@@ -114,6 +114,10 @@
     std::int64_t age_ms{0};
     /// Handle of the open interactive transaction.
     std::string transaction;
+    /// Waits for a connection and for the confirmation, in milliseconds; known
+    /// at the coordinator only.
+    double queue_ms{0};
+    double confirmation_ms{0};
 
     template <class Archive>
     void serialize(Archive& archive)
--- a/src/plantainward/coordinator/service_coordinator.cpp
+++ b/src/plantainward/coordinator/service_coordinator.cpp
@@ -579,6 +579,8 @@
     reply.seen = one.answer.seen;
     reply.replayed = one.answer.replayed;
     reply.from_replica = from_replica;
+    reply.queue_ms = core::to_ms_exact(one.started - one.submitted);
+    reply.confirmation_ms = core::to_ms_exact(now - one.answered);
     reply.transaction =
         one.closes_transaction ? std::string{} : one.request.transaction;
     if (const auto until = view.data_proved_until(one.answer.seen))
--- a/src/plantainward/daemon/coordinator_shell.hpp
+++ b/src/plantainward/daemon/coordinator_shell.hpp
@@ -258,6 +258,10 @@
         if (reply.error)
             return m_seen.numbers.count("errors", core::name_of(*reply.error));
         m_seen.numbers.count("done", klass);
+        m_seen.numbers.observe(observe::measure::queue_time, one.tenant, klass,
+                               reply.queue_ms);
+        m_seen.numbers.observe(observe::measure::confirmation_wait, one.tenant,
+                               klass, reply.confirmation_ms);
         if (!one.may_use_replica)
             return;
         m_seen.numbers.count("replica_reads_allowed",
--- a/tests/coordinator/scripted_tests.cpp
+++ b/tests/coordinator/scripted_tests.cpp
@@ -164,6 +164,9 @@
     one.confirm(2);
     LONGS_EQUAL(1, one.replies.size());
     CHECK_FALSE(one.replies[0].error.has_value());
+    // Two steps of 5 ms passed until the confirmation.
+    DOUBLES_EQUAL(10, one.replies[0].confirmation_ms, 0.1);
+    DOUBLES_EQUAL(0, one.replies[0].queue_ms, 0.1);
 }
 
 TEST(scripted_upstream, a_second_answer_to_the_same_order_goes_nowhere)
