--- a/programs/plantainctl/commands.cpp
+++ b/programs/plantainctl/commands.cpp
@@ -335,7 +335,10 @@
             "{}"};
         if (!ask_proxy(proxy, message))
             return fail_with_reason();
-        std::cout << core::to_string(proxy) << " is shutting down\n";
+        if (where.json)
+            print(json::object{{"draining", core::to_string(proxy)}});
+        else
+            std::cout << core::to_string(proxy) << " is shutting down\n";
     }
     return exit_ok;
 }
