--- /dev/null
+++ b/src/plantainward/entry/entry_host.cpp
@@ -0,0 +1,438 @@
+#include <plantainward/entry/entry_host.hpp>
+
+#include <plantainward/core/digest.hpp>
+#include <plantainward/core/last_reason.hpp>
+
+#include <algorithm>
+#include <type_traits>
+#include <utility>
+
+namespace plantainward::entry
+{
+
+namespace
+{
+
+// A lease that would run out within this time is renewed from the table
+// service, since the fleet's quorum has not renewed it.
+constexpr core::millis renew_ahead{1000};
+
+// Between reads of the records while the quorum fails.
+constexpr core::millis record_read_interval{400};
+
+// Between reads of the routing because of a peer's newer version.
+constexpr core::millis routing_read_interval{300};
+
+// Between removals of lost members, so that news of one arrives first.
+constexpr core::millis removal_interval{1000};
+
+// Age of a peer's mark up to which it is taken, in milliseconds.
+constexpr std::int32_t largest_mark_age_ms = 3000;
+
+} // namespace
+
+entry_host::entry_host(entry_identity identity)
+    : m_identity(std::move(identity)),
+      m_pooler(pooling::pooler_options{m_identity.failure_domain}),
+      m_fleet(m_identity.name, m_identity.incarnation, m_fleet_options)
+{
+}
+
+void entry_host::observe(belief_observer on_belief)
+{
+    m_on_belief = std::move(on_belief);
+}
+
+void entry_host::tell(std::string_view what, const std::string& service,
+                      std::string detail) const
+{
+    if (m_on_belief)
+        m_on_belief({what, service, std::move(detail)});
+}
+
+succession::succession& entry_host::succession_of(const std::string& service)
+{
+    return m_successions.try_emplace(service, m_identity.name, service)
+        .first->second;
+}
+
+entry_actions entry_host::on_routing(routes::routing routing,
+                                     core::boot_instant now)
+{
+    entry_actions out;
+    const auto version = routing.version;
+    if (!m_pooler.set_routing(std::move(routing), now))
+        return out;
+    tell("routing_in_force", {}, "version " + std::to_string(version));
+    for (const auto& [name, limits] : m_pooler.routing().services)
+        succession_of(name);
+    update_upstreams(now, out);
+    return out;
+}
+
+entry_actions entry_host::on_upstreams(const std::vector<routes::upstream>& all,
+                                       core::boot_instant now)
+{
+    entry_actions out;
+    m_directory.replace(all, now);
+    update_upstreams(now, out);
+    return out;
+}
+
+entry_actions entry_host::on_upstream(const routes::upstream& one,
+                                      core::boot_instant now)
+{
+    entry_actions out;
+    m_directory.put(one);
+    update_upstreams(now, out);
+    return out;
+}
+
+entry_actions entry_host::on_upstream_removed(const std::string& id,
+                                              core::boot_instant now)
+{
+    entry_actions out;
+    m_directory.remove(id, now);
+    tell("upstream_unregistered", {}, id);
+    update_upstreams(now, out);
+    return out;
+}
+
+void entry_host::update_upstreams(core::boot_instant now, entry_actions& out)
+{
+    auto usable = m_directory.usable(now);
+    if (usable == m_upstreams)
+        return;
+    for (const auto& one : usable)
+        if (std::find(m_upstreams.begin(), m_upstreams.end(), one) ==
+            m_upstreams.end())
+            tell("upstream_known", one.service,
+                 one.id + " at " + core::to_string(one.address) +
+                     (one.leaving ? ", leaving" : "") +
+                     (one.claims_primary ? ", primary" : ""));
+    m_upstreams = std::move(usable);
+    auto made = m_pooler.set_upstreams(m_upstreams, now);
+    std::move(made.begin(), made.end(), std::back_inserter(out.pooling));
+}
+
+bool entry_host::take_record(const std::string& service,
+                             const succession::leadership& record,
+                             core::boot_instant now, entry_actions& out)
+{
+    auto& one = succession_of(service);
+    if (!one.take(record, now))
+        return false;
+    tell("primary_record", service,
+         std::string(succession::phase_names[record.phase]) + " " +
+             record.primary + " by " + record.writer + ", version " +
+             std::to_string(record.version));
+    update_primary(one, now, out);
+    return true;
+}
+
+entry_actions entry_host::on_records(
+    const std::map<std::string, succession::leadership>& records,
+    core::boot_instant read_at, core::boot_instant now)
+{
+    entry_actions out;
+    bool changed = !m_knows_records;
+    m_knows_records = true;
+    for (const auto& [service, record] : records)
+    {
+        changed = take_record(service, record, now, out) || changed;
+        auto& one = succession_of(service);
+        one.prove(record.version, read_at);
+        update_primary(one, now, out);
+    }
+    if (changed)
+        send_heartbeats(now, out);
+    return out;
+}
+
+entry_actions entry_host::on_record(const std::string& service,
+                                    const succession::leadership& record,
+                                    core::boot_instant now)
+{
+    entry_actions out;
+    if (take_record(service, record, now, out))
+        send_heartbeats(now, out);
+    return out;
+}
+
+void entry_host::on_members(const std::map<std::string, core::address>& members,
+                            core::boot_instant now)
+{
+    m_fleet.set_members(members, now);
+    m_pooler.set_hosts(m_fleet.size());
+}
+
+entry_actions entry_host::on_heartbeat(std::string_view bytes,
+                                       core::boot_instant now)
+{
+    entry_actions out;
+    const auto got = fleet::decode_heartbeat(bytes);
+    if (!got)
+    {
+        tell("heartbeat_refused", {}, core::last_reason().text);
+        return out;
+    }
+    if (!m_fleet.take(*got, now))
+        return out;
+    const auto& peer = m_fleet.peers().at(got->host);
+    bool changed = false;
+    for (const auto& [service, news] : got->services)
+    {
+        changed = take_record(service, news.leadership, now, out) || changed;
+        const bool has_mark = news.mark_age_ms >= 0 &&
+                              news.mark_age_ms <= largest_mark_age_ms &&
+                              peer.confirmed_at != core::boot_instant{};
+        if (has_mark)
+            m_pooler.add_mark(
+                service, {peer.confirmed_at - core::millis(news.mark_age_ms),
+                          news.mark});
+    }
+    if (got->routing_version > m_pooler.routing().version &&
+        now - m_last_routing_read > routing_read_interval)
+    {
+        m_last_routing_read = now;
+        out.control.emplace_back(read_routing_action{});
+    }
+    if (changed)
+        send_heartbeats(now, out);
+    return out;
+}
+
+entry_actions entry_host::on_record_written(const std::string& service,
+                                            succession::write_end end,
+                                            std::uint64_t version,
+                                            core::boot_instant sent,
+                                            core::boot_instant now)
+{
+    entry_actions out;
+    auto& one = succession_of(service);
+    tell("record_write", service,
+         end == succession::write_end::written
+             ? "written, version " + std::to_string(version)
+             : (end == succession::write_end::conflict ? "conflict"
+                                                       : "not known"));
+    const auto wanted = one.on_write(end, version, now);
+    if (end == succession::write_end::written)
+    {
+        one.prove(version, sent);
+        update_primary(one, now, out);
+        send_heartbeats(now, out);
+    }
+    carry_out(service, wanted, out);
+    return out;
+}
+
+entry_actions entry_host::on_status(const std::string& service,
+                                    const std::string& upstream,
+                                    core::boot_instant asked,
+                                    std::optional<sql::database_status> status,
+                                    core::boot_instant now)
+{
+    entry_actions out;
+    auto& one = succession_of(service);
+    one.on_status(upstream, asked, status);
+    run_claims(now, out);
+    return out;
+}
+
+entry_actions entry_host::on_promoted(const std::string& service,
+                                      succession::promote_end end,
+                                      core::boot_instant now)
+{
+    entry_actions out;
+    tell("promotion", service,
+         end == succession::promote_end::accepted
+             ? "accepted"
+             : (end == succession::promote_end::rejected ? "rejected"
+                                                         : "not known"));
+    carry_out(service, succession_of(service).on_promote(end, now), out);
+    return out;
+}
+
+void entry_host::update_primary(succession::succession& one,
+                                core::boot_instant now, entry_actions& out)
+{
+    const auto& record = one.lease().record();
+    const auto until = one.lease().valid_until();
+    auto made = m_pooler.set_primary(one.service(),
+                                     until ? record.primary : std::string(),
+                                     until.value_or(core::boot_instant{}), now);
+    std::move(made.begin(), made.end(), std::back_inserter(out.pooling));
+}
+
+fleet::service_news entry_host::news_of(const std::string& service,
+                                        core::boot_instant now) const
+{
+    fleet::service_news made;
+    made.leadership = m_successions.at(service).lease().record();
+    made.doubts_primary =
+        m_pooler.is_doubted(service, made.leadership.primary, now);
+    const auto mark = m_pooler.newest_mark(service);
+    if (!mark)
+        return made;
+    const auto age = core::to_ms(now - mark->since) + 1;
+    if (age > largest_mark_age_ms)
+        return made;
+    made.mark = mark->point;
+    made.mark_age_ms = static_cast<std::int32_t>(age);
+    return made;
+}
+
+void entry_host::send_heartbeats(core::boot_instant now, entry_actions& out)
+{
+    m_last_round = now;
+    m_fleet.start_round(now);
+    std::map<std::string, fleet::service_news> services;
+    for (const auto& [service, one] : m_successions)
+        services.emplace(service, news_of(service, now));
+    for (const auto& [name, peer] : m_fleet.peers())
+    {
+        auto made = m_fleet.make_for(name);
+        made.knows_records = m_knows_records;
+        made.routing_version = m_pooler.routing().version;
+        made.services = services;
+        out.control.emplace_back(
+            heartbeat_action{peer.address, fleet::encode(made)});
+    }
+}
+
+std::size_t entry_host::rank_for(const std::string& service,
+                                 core::boot_instant now) const
+{
+    const auto weight = [&](const std::string& name) {
+        return core::placement_hash(service, name);
+    };
+    const auto own = weight(m_identity.name);
+    std::size_t rank = 0;
+    for (const auto& name : m_fleet.live(now))
+        rank += weight(name) > own ? 1 : 0;
+    return rank;
+}
+
+void entry_host::carry_out(const std::string& service,
+                           const succession::claim_actions& wanted,
+                           entry_actions& out)
+{
+    const auto find = [&](const std::string& id) {
+        return std::find_if(m_upstreams.begin(), m_upstreams.end(),
+                            [&](const auto& one) { return one.id == id; });
+    };
+    for (const auto& action : wanted)
+    {
+        std::visit(
+            [&](const auto& one) {
+                using kind = std::decay_t<decltype(one)>;
+                if constexpr (std::is_same_v<kind, succession::write_action>)
+                    out.control.emplace_back(write_record_action{service, one});
+                else if constexpr (std::is_same_v<kind,
+                                                  succession::promote_action>)
+                    out.control.emplace_back(
+                        promote_upstream_action{service, one});
+                else if (const auto where = find(one.upstream);
+                         where != m_upstreams.end())
+                {
+                    if constexpr (std::is_same_v<kind,
+                                                 succession::demote_action>)
+                        out.control.emplace_back(
+                            demote_upstream_action{*where, one.term});
+                    else
+                        out.control.emplace_back(ask_status_action{*where});
+                }
+            },
+            action);
+    }
+}
+
+void entry_host::run_claims(core::boot_instant now, entry_actions& out)
+{
+    if (!m_knows_records || !m_claims)
+        return;
+    const auto live = m_fleet.live(now);
+    for (auto& [service, one] : m_successions)
+    {
+        const auto& record = one.lease().record();
+        succession::succession_view view;
+        for (const auto& known : m_upstreams)
+            if (known.service == service)
+                view.claim.upstreams.push_back(known);
+        view.claim.members = m_fleet.size();
+        view.claim.aware = [&, &name = service](std::uint64_t version,
+                                                core::boot_instant since) {
+            return m_fleet.members_aware(name, version, since);
+        };
+        view.doubts_primary = m_pooler.is_doubted(service, record.primary, now);
+        view.doubters = m_fleet.doubters(service, record.version, now);
+        view.live = live.size();
+        view.rank = rank_for(service, now);
+        view.writer_is_live =
+            std::find(live.begin(), live.end(), record.writer) != live.end();
+        const bool was_running = one.running().has_value();
+        const auto wanted = one.tick(view, now);
+        if (!was_running && one.running())
+            tell("claim_started", service,
+                 std::string(succession::cause_names[one.running()->cause()]) +
+                     ", primary " + record.primary + ", version " +
+                     std::to_string(record.version));
+        carry_out(service, wanted, out);
+    }
+}
+
+void entry_host::renew_leases(core::boot_instant now, entry_actions& out)
+{
+    bool runs_out = !m_knows_records;
+    for (auto& [service, one] : m_successions)
+    {
+        const auto version = one.lease().record().version;
+        if (m_knows_records)
+            if (const auto at = m_fleet.quorum_instant(service, version, now))
+                one.prove(version, *at);
+        update_primary(one, now, out);
+        const auto until = one.lease().valid_until();
+        runs_out = runs_out || !until || *until - now < renew_ahead;
+    }
+    if (!runs_out || now - m_last_record_read < record_read_interval)
+        return;
+    m_last_record_read = now;
+    out.control.emplace_back(read_records_action{});
+}
+
+void entry_host::remove_lost_members(core::boot_instant now, entry_actions& out)
+{
+    if (now - m_last_removal < removal_interval || !m_knows_records)
+        return;
+    const auto lost = m_fleet.lost(now);
+    if (lost.empty() || rank_for(lost.front(), now) != 0)
+        return;
+    m_last_removal = now;
+    tell("member_removed", {}, lost.front());
+    out.control.emplace_back(remove_member_action{lost.front()});
+}
+
+entry_actions entry_host::tick(core::boot_instant now)
+{
+    entry_actions out;
+    out.pooling = m_pooler.tick(now);
+    update_upstreams(now, out);
+    renew_leases(now, out);
+    run_claims(now, out);
+    if (now - m_last_round >= m_fleet_options.interval)
+        send_heartbeats(now, out);
+    remove_lost_members(now, out);
+    return out;
+}
+
+bool entry_host::is_ready(core::boot_instant now) const
+{
+    if (!has_routing() || !m_knows_records || m_upstreams.empty())
+        return false;
+    return std::any_of(
+        m_upstreams.begin(), m_upstreams.end(), [&](const auto& one) {
+            return !m_pooler.is_doubted(one.service, one.id, now);
+        });
+}
+
+} // namespace plantainward::entry
--- /dev/null
+++ b/src/plantainward/entry/entry_host.hpp
@@ -0,0 +1,194 @@
+#pragma once
+
+#include <plantainward/entry/upstream_directory.hpp>
+#include <plantainward/fleet/fleet_view.hpp>
+#include <plantainward/pooling/pooler.hpp>
+#include <plantainward/succession/succession.hpp>
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace plantainward::entry
+{
+
+/// Sends a heartbeat.
+struct heartbeat_action
+{
+    core::address where;
+    std::string bytes;
+};
+
+/// Reads the shared records; the answer proves what it shows.
+struct read_records_action
+{
+};
+
+/// A peer has a newer routing than this host.
+struct read_routing_action
+{
+};
+
+/// Writes the record of a service if its version is still the expected one.
+struct write_record_action
+{
+    std::string service;
+    succession::write_action write;
+};
+
+/// Asks a database for its status.
+struct ask_status_action
+{
+    routes::upstream where;
+};
+
+/// Makes a replaced primary a replica.
+struct demote_upstream_action
+{
+    routes::upstream where;
+    upstream::term_number term{0};
+};
+
+/// Makes a database the primary of its service.
+struct promote_upstream_action
+{
+    std::string service;
+    succession::promote_action promote;
+};
+
+/// Removes the registration of a host that is gone.
+struct remove_member_action
+{
+    std::string member;
+};
+
+using control_action =
+    std::variant<heartbeat_action, read_records_action, read_routing_action,
+                 write_record_action, ask_status_action, demote_upstream_action,
+                 promote_upstream_action, remove_member_action>;
+
+/// What a host does after one event.
+struct entry_actions
+{
+    std::vector<control_action> control;
+    pooling::actions pooling;
+};
+
+/// A change of what the host believes, for logs.
+struct belief
+{
+    std::string_view what;
+    std::string service;
+    std::string detail;
+};
+
+using belief_observer = std::function<void(const belief&)>;
+
+/// Who a host is.
+struct entry_identity
+{
+    std::string name;
+    std::string failure_domain;
+    /// Grows with each start of the host.
+    std::uint64_t incarnation{0};
+};
+
+/// All decisions of one host: sessions, connections, primaries, members.
+///
+/// Takes events with the time and returns actions; holds no socket, thread or
+/// clock.
+class entry_host
+{
+public:
+    explicit entry_host(entry_identity identity);
+
+    pooling::pooler& pooler() { return m_pooler; }
+    const pooling::pooler& pooler() const { return m_pooler; }
+    void observe(belief_observer on_belief);
+
+    entry_actions on_routing(routes::routing routing, core::boot_instant now);
+    entry_actions on_upstreams(const std::vector<routes::upstream>& all,
+                               core::boot_instant now);
+    entry_actions on_upstream(const routes::upstream& one,
+                              core::boot_instant now);
+    entry_actions on_upstream_removed(const std::string& id,
+                                      core::boot_instant now);
+
+    /// Takes all records, read no earlier than `read_at`.
+    entry_actions
+    on_records(const std::map<std::string, succession::leadership>& records,
+               core::boot_instant read_at, core::boot_instant now);
+    /// Takes one changed record.
+    entry_actions on_record(const std::string& service,
+                            const succession::leadership& record,
+                            core::boot_instant now);
+    void on_members(const std::map<std::string, core::address>& members,
+                    core::boot_instant now);
+    entry_actions on_heartbeat(std::string_view bytes, core::boot_instant now);
+
+    entry_actions on_record_written(const std::string& service,
+                                    succession::write_end end,
+                                    std::uint64_t version,
+                                    core::boot_instant sent,
+                                    core::boot_instant now);
+    entry_actions on_status(const std::string& service,
+                            const std::string& upstream,
+                            core::boot_instant asked,
+                            std::optional<sql::database_status> status,
+                            core::boot_instant now);
+    entry_actions on_promoted(const std::string& service,
+                              succession::promote_end end,
+                              core::boot_instant now);
+
+    entry_actions tick(core::boot_instant now);
+
+    /// Whether callers should be sent here.
+    bool is_ready(core::boot_instant now) const;
+
+    /// Whether the routing is known.
+    bool has_routing() const { return m_pooler.routing().version > 0; }
+
+    /// Ends the use of primaries and claims nothing more.
+    void stop_claims() { m_claims = false; }
+
+private:
+    succession::succession& succession_of(const std::string& service);
+    void update_primary(succession::succession& one, core::boot_instant now,
+                        entry_actions& out);
+    void send_heartbeats(core::boot_instant now, entry_actions& out);
+    fleet::service_news news_of(const std::string& service,
+                                core::boot_instant now) const;
+    void carry_out(const std::string& service,
+                   const succession::claim_actions& wanted, entry_actions& out);
+    void run_claims(core::boot_instant now, entry_actions& out);
+    void update_upstreams(core::boot_instant now, entry_actions& out);
+    void renew_leases(core::boot_instant now, entry_actions& out);
+    void remove_lost_members(core::boot_instant now, entry_actions& out);
+    bool take_record(const std::string& service,
+                     const succession::leadership& record,
+                     core::boot_instant now, entry_actions& out);
+    std::size_t rank_for(const std::string& service,
+                         core::boot_instant now) const;
+    void tell(std::string_view what, const std::string& service,
+              std::string detail) const;
+
+    entry_identity m_identity;
+    pooling::pooler m_pooler;
+    fleet::fleet_options m_fleet_options;
+    fleet::fleet_view m_fleet;
+    upstream_directory m_directory;
+    std::vector<routes::upstream> m_upstreams;
+    std::map<std::string, succession::succession> m_successions;
+    belief_observer m_on_belief;
+    bool m_knows_records{false};
+    bool m_claims{true};
+    core::boot_instant m_last_round{};
+    core::boot_instant m_last_record_read{};
+    core::boot_instant m_last_routing_read{};
+    core::boot_instant m_last_removal{};
+};
+
+} // namespace plantainward::entry
--- /dev/null
+++ b/src/plantainward/fleet/fleet_view.hpp
@@ -0,0 +1,110 @@
+#pragma once
+
+#include <plantainward/core/boot_clock.hpp>
+#include <plantainward/core/host.hpp>
+#include <plantainward/core/time.hpp>
+#include <plantainward/fleet/heartbeat.hpp>
+
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace plantainward::fleet
+{
+
+/// Timing of the heartbeats.
+struct fleet_options
+{
+    /// Between the heartbeats to each member. Five of them fit into the
+    /// validity of a lease, so that lost datagrams don't end it.
+    core::millis interval{400};
+    /// Silence after which a member doesn't count as live.
+    core::millis live_window{1300};
+    /// Silence after which a live member's record may be removed.
+    core::millis forget_after{8000};
+};
+
+/// A member as its heartbeats show it.
+struct peer_state
+{
+    core::address address;
+    /// Last heartbeat; its sequence is 0 when none has come.
+    heartbeat last;
+    core::boot_instant heard_at{};
+    /// This host sent the heartbeat that the peer echoed then, so all that
+    /// the peer's last heartbeat says was true at this instant or later.
+    core::boot_instant confirmed_at{};
+    /// First time that the member was listed here.
+    core::boot_instant listed_at{};
+};
+
+/// The members of the fleet, what they say, and what they confirm.
+///
+/// Instants of other hosts are never used: what a peer says is dated by the
+/// heartbeat of this host that the peer echoes.
+class fleet_view
+{
+public:
+    fleet_view(std::string self, std::uint64_t incarnation,
+               fleet_options options);
+
+    /// Takes the registered members; this host is left out.
+    void set_members(const std::map<std::string, core::address>& members,
+                     core::boot_instant now);
+
+    /// Starts a round of heartbeats; the same sequence goes to all members.
+    void start_round(core::boot_instant now);
+
+    /// The heartbeat for one member, without the sender's news.
+    heartbeat make_for(const std::string& member) const;
+
+    /// Takes a heartbeat; false when it is old or of an unknown member.
+    bool take(const heartbeat& one, core::boot_instant now);
+
+    /// The latest instant at which more than two thirds of the members, this
+    /// host included, knew of no newer record than `version`.
+    std::optional<core::boot_instant>
+    quorum_instant(const std::string& service, std::uint64_t version,
+                   core::boot_instant now) const;
+
+    /// Members, this host included, that know this version or a newer one, or
+    /// that had read no record yet at `since`, when the version was written.
+    std::size_t members_aware(const std::string& service, std::uint64_t version,
+                              core::boot_instant since) const;
+
+    /// Live members that doubt the primary of this record; without this host.
+    std::size_t doubters(const std::string& service, std::uint64_t version,
+                         core::boot_instant now) const;
+
+    /// Names of the live members, this host included, in order.
+    std::vector<std::string> live(core::boot_instant now) const;
+
+    /// Members that have been silent for so long that they may be removed.
+    std::vector<std::string> lost(core::boot_instant now) const;
+
+    /// Registered members, this host included.
+    std::size_t size() const { return m_peers.size() + 1; }
+
+    const std::map<std::string, peer_state>& peers() const { return m_peers; }
+
+private:
+    struct sent_round
+    {
+        std::uint64_t sequence{0};
+        core::boot_instant at;
+    };
+
+    std::optional<core::boot_instant> sent_at(std::uint64_t sequence) const;
+
+    std::string m_self;
+    std::uint64_t m_incarnation;
+    fleet_options m_options;
+    std::map<std::string, peer_state> m_peers;
+    std::uint64_t m_sequence{0};
+    std::deque<sent_round> m_rounds;
+};
+
+} // namespace plantainward::fleet
--- /dev/null
+++ b/src/plantainward/pooling/pooler.cpp
@@ -0,0 +1,476 @@
+#include <plantainward/pooling/pooler.hpp>
+
+#include <plantainward/pooling/placement.hpp>
+#include <plantainward/pooling/session_rules.hpp>
+
+#include <algorithm>
+
+namespace plantainward::pooling
+{
+
+namespace
+{
+
+using sql::statement_kind;
+
+// Statements that a caller may send ahead of the answer to the first.
+constexpr std::size_t most_queued = 64;
+
+// Share of a statement's time limit that it may wait for a database. A caller
+// that is refused then has as much time left to try another host.
+constexpr double waiting_share = 0.5;
+
+// Pause after which databases that refused a waiting statement are asked again.
+constexpr core::millis retry_interval{30};
+
+// Attempts to place one statement; a bound on the work that a failing service
+// causes.
+constexpr std::size_t most_attempts = 12;
+
+} // namespace
+
+void pooler::observe(decision_observer on_decision,
+                     statement_observer on_statement)
+{
+    m_on_decision = std::move(on_decision);
+    m_on_statement = std::move(on_statement);
+}
+
+void pooler::note(std::string_view what, const session& who,
+                  const std::string& upstream, std::string detail)
+{
+    if (!m_on_decision)
+        return;
+    decision made{what, {}, {}, upstream, std::move(detail)};
+    if (who.current)
+    {
+        made.request = who.current->statement.id;
+        made.service = who.current->route.service;
+    }
+    m_on_decision(made);
+}
+
+bool pooler::set_routing(routes::routing routing, core::boot_instant now)
+{
+    if (routing.version <= m_routing.version)
+        return false;
+    m_now = now;
+    m_routing = std::move(routing);
+    for (const auto& [name, limits] : m_routing.services)
+        m_services.try_emplace(name);
+    share_connections();
+    return true;
+}
+
+void pooler::set_hosts(std::size_t count)
+{
+    m_hosts = std::max<std::size_t>(1, count);
+    share_connections();
+}
+
+// A part of each database's connections is left for status questions and for
+// connections of restarted hosts that the database still counts.
+void pooler::share_connections()
+{
+    constexpr double shared_part = 0.93;
+    for (auto& [name, service] : m_services)
+    {
+        const auto limits = m_routing.services.find(name);
+        if (limits == m_routing.services.end())
+            continue;
+        const auto all =
+            static_cast<double>(limits->second.max_connections) * shared_part;
+        const auto share =
+            std::max<std::size_t>(1, static_cast<std::size_t>(all) / m_hosts);
+        for (auto& [id, pool] : service.upstreams)
+            pool.set_share(share);
+    }
+}
+
+actions pooler::set_upstreams(const std::vector<routes::upstream>& upstreams,
+                              core::boot_instant now)
+{
+    m_now = now;
+    std::map<std::string, const routes::upstream*> listed;
+    for (const auto& one : upstreams)
+        listed[one.id] = &one;
+    for (auto& [name, service] : m_services)
+    {
+        std::vector<std::string> gone;
+        for (auto& [id, pool] : service.upstreams)
+        {
+            const auto found = listed.find(id);
+            const bool is_same =
+                found != listed.end() && found->second->service == name &&
+                found->second->address == pool.what().address &&
+                found->second->born_ms == pool.what().born_ms;
+            if (!is_same)
+                gone.push_back(id);
+        }
+        for (const auto& id : gone)
+        {
+            std::vector<connection_id> open;
+            for (const auto& [connection, one] :
+                 service.upstreams.at(id).connections())
+                open.push_back(connection);
+            for (const auto connection : open)
+                drop(connection);
+            service.upstreams.erase(id);
+        }
+    }
+    for (const auto& one : upstreams)
+    {
+        auto& known = m_services[one.service].upstreams;
+        known.try_emplace(one.id, one).first->second.set_what(one);
+    }
+    share_connections();
+    serve_queue();
+    return take();
+}
+
+actions pooler::set_primary(const std::string& service,
+                            const std::string& upstream,
+                            core::boot_instant until, core::boot_instant now)
+{
+    m_now = now;
+    auto& known = m_services[service];
+    const bool opens = !known.has_primary(now) || known.primary != upstream;
+    known.primary = upstream;
+    known.primary_until = until;
+    if (opens && known.has_primary(now))
+        serve_queue();
+    return take();
+}
+
+void pooler::add_mark(const std::string& service, const freshness::mark& one)
+{
+    m_services[service].marks.add(one);
+}
+
+std::optional<freshness::mark>
+pooler::newest_mark(const std::string& service) const
+{
+    const auto found = m_services.find(service);
+    return found == m_services.end() ? std::nullopt
+                                     : found->second.marks.newest();
+}
+
+bool pooler::is_doubted(const std::string& service, const std::string& upstream,
+                        core::boot_instant now) const
+{
+    const auto found = m_services.find(service);
+    if (found == m_services.end())
+        return false;
+    const auto pool = found->second.upstreams.find(upstream);
+    return pool != found->second.upstreams.end() &&
+           pool->second.is_doubted(now);
+}
+
+bool pooler::open_session(session_id id, const std::string& database,
+                          core::boot_instant now)
+{
+    if (m_routing.find(database) == nullptr)
+        return false;
+    auto& made = m_sessions[id];
+    made.id = id;
+    made.database = database;
+    made.last_active = now;
+    return true;
+}
+
+actions pooler::close_session(session_id id, core::boot_instant now)
+{
+    m_now = now;
+    const auto found = m_sessions.find(id);
+    if (found == m_sessions.end())
+        return take();
+    auto& who = found->second;
+    if (who.current)
+    {
+        --m_in_work;
+        std::erase(m_queue, id);
+        // A statement that nobody waits for is ended with its connection.
+        if (const auto used = who.current->connection; used != 0)
+        {
+            who.current.reset();
+            drop(used);
+        }
+    }
+    else if (who.transaction && who.transaction->connection != 0)
+    {
+        if (auto* one = find(who.transaction->connection))
+            release(*one, true);
+    }
+    m_sessions.erase(id);
+    serve_queue();
+    return take();
+}
+
+std::vector<session_id> pooler::idle_sessions() const
+{
+    std::vector<session_id> idle;
+    for (const auto& [id, one] : m_sessions)
+        if (!one.current && !one.transaction)
+            idle.push_back(id);
+    return idle;
+}
+
+actions pooler::end_transactions(core::boot_instant now)
+{
+    m_now = now;
+    for (auto& [id, one] : m_sessions)
+        if (one.transaction && !one.current)
+            fail_transaction(one, false);
+    return take();
+}
+
+actions pooler::on_statement(session_id id, sql::statement one,
+                             core::boot_instant now)
+{
+    m_now = now;
+    const auto found = m_sessions.find(id);
+    if (found == m_sessions.end())
+        return take();
+    auto& who = found->second;
+    who.last_active = now;
+    if (!who.current)
+        start(who, std::move(one));
+    else if (who.queued.size() < most_queued)
+        who.queued.push_back(std::move(one));
+    else
+        reply(who, answer_error(who, core::error_kind::overloaded,
+                                "too many statements ahead of their answers"));
+    return take();
+}
+
+void pooler::start(session& who, sql::statement one)
+{
+    if (auto answer = answer_locally(who, one))
+        return reply(who, std::move(*answer));
+    switch (one.kind)
+    {
+    case statement_kind::begin:
+    case statement_kind::begin_read_only:
+        return begin(who, one);
+    case statement_kind::rollback:
+        return roll_back(who);
+    default:
+        return start_work(who, std::move(one));
+    }
+}
+
+void pooler::begin(session& who, const sql::statement& one)
+{
+    const auto* route = m_routing.find(who.database);
+    if (route == nullptr)
+        return reply(who, answer_error(who, core::error_kind::not_found,
+                                       "no route has this database name"));
+    who.transaction.emplace();
+    who.transaction->read_only = one.kind == statement_kind::begin_read_only;
+    who.transaction->began = m_now;
+    who.transaction->route = *route;
+    reply(who, answer_done(who));
+}
+
+void pooler::roll_back(session& who)
+{
+    const auto used = who.transaction->connection;
+    who.transaction.reset();
+    if (auto* one = find(used))
+        release(*one, true);
+    reply(who, answer_done(who));
+    serve_queue();
+}
+
+void pooler::start_work(session& who, sql::statement one)
+{
+    const auto* route = who.transaction ? &who.transaction->route
+                                        : m_routing.find(who.database);
+    if (route == nullptr)
+        return reply(who, answer_error(who, core::error_kind::not_found,
+                                       "no route has this database name"));
+    work made;
+    made.route = *route;
+    const bool writes = writes_data(who, one);
+    const bool in_transaction = who.transaction.has_value();
+    made.needs_primary = writes || route->rule == routes::read_rule::latest ||
+                         (in_transaction && !who.transaction->read_only);
+    made.begins = in_transaction && who.transaction->connection == 0;
+    made.is_final =
+        one.kind == statement_kind::commit || (writes && !in_transaction);
+    made.statement = std::move(one);
+    made.received = m_now;
+    made.deadline = m_now + route->timeout;
+    made.wait_until = m_now + std::chrono::duration_cast<core::millis>(
+                                  route->timeout * waiting_share);
+    who.current = std::move(made);
+    ++m_in_work;
+    if (in_transaction && who.transaction->connection != 0)
+    {
+        auto& pinned = *find(who.transaction->connection);
+        return use(pinned, who);
+    }
+    if (!try_start(who))
+        wait(who);
+}
+
+void pooler::reply(session& who, sql::reply answer)
+{
+    m_out.emplace_back(reply_action{who.id, std::move(answer)});
+}
+
+void pooler::finish(session& who, sql::reply answer)
+{
+    const auto& done = *who.current;
+    if (m_on_statement)
+        m_on_statement(
+            {done.route, answer.error, !done.at_primary,
+             std::chrono::duration_cast<core::millis>(m_now - done.received)});
+    if (ends_transaction(done))
+    {
+        who.transaction.reset();
+        who.failed = false;
+        answer.state = sql::transaction_state::idle;
+    }
+    who.current.reset();
+    who.last_active = m_now;
+    --m_in_work;
+    std::erase(m_queue, who.id);
+    reply(who, std::move(answer));
+    while (!who.current && !who.queued.empty())
+    {
+        auto next = std::move(who.queued.front());
+        who.queued.pop_front();
+        start(who, std::move(next));
+    }
+}
+
+void pooler::refuse(session& who, core::error_kind kind,
+                    const std::string& text)
+{
+    note("refused", who, {}, std::string(core::name_of(kind)) + ": " + text);
+    if (who.transaction && !ends_transaction(*who.current))
+        fail_transaction(who, true);
+    finish(who, answer_error(who, kind, text));
+}
+
+void pooler::fail_transaction(session& who, bool told)
+{
+    if (auto* one = find(who.transaction->connection))
+        release(*one, true);
+    who.transaction->connection = 0;
+    who.failed = true;
+    who.owes_failure = !told;
+}
+
+void pooler::wait(session& who)
+{
+    who.current->connection = 0;
+    if (std::find(m_queue.begin(), m_queue.end(), who.id) != m_queue.end())
+        return;
+    const auto before = [&](session_id a, session_id b) {
+        const auto& first = *m_sessions.at(a).current;
+        const auto& second = *m_sessions.at(b).current;
+        return std::pair(first.route.priority, first.received) <
+               std::pair(second.route.priority, second.received);
+    };
+    m_queue.insert(
+        std::upper_bound(m_queue.begin(), m_queue.end(), who.id, before),
+        who.id);
+}
+
+void pooler::serve_queue()
+{
+    const auto waiting = m_queue;
+    for (const auto id : waiting)
+    {
+        const auto found = m_sessions.find(id);
+        if (found == m_sessions.end() || !found->second.current ||
+            found->second.current->connection != 0)
+            continue;
+        if (try_start(found->second))
+            std::erase(m_queue, id);
+    }
+}
+
+bool pooler::try_start(session& who)
+{
+    auto& what = *who.current;
+    auto& service = m_services[what.route.service];
+    if (what.attempts >= most_attempts)
+        return false;
+    const auto chosen =
+        place(service, what, who, m_options.failure_domain, m_now);
+    if (!chosen)
+        return false;
+    ++what.attempts;
+    what.after = chosen->after;
+    what.at_primary = service.is_primary(chosen->upstream, m_now);
+    auto& pool = service.upstreams.at(chosen->upstream);
+    auto* one = pool.idle_connection(who.values);
+    if (one == nullptr)
+    {
+        auto& made = open(what.route.service, pool);
+        made.user = who.id;
+        what.connection = made.id;
+        return true;
+    }
+    use(*one, who);
+    return true;
+}
+
+void pooler::give_up_late_work()
+{
+    std::vector<session_id> late;
+    for (auto& [id, who] : m_sessions)
+    {
+        if (who.transaction && !who.current && !who.failed &&
+            m_now - who.last_active > m_routing.transaction_idle)
+            fail_transaction(who, false);
+        if (!who.current)
+            continue;
+        const bool waits = who.current->connection == 0;
+        if (m_now >= (waits ? who.current->wait_until : who.current->deadline))
+            late.push_back(id);
+    }
+    for (const auto id : late)
+    {
+        auto& who = m_sessions.at(id);
+        const auto used = who.current->connection;
+        if (used == 0)
+        {
+            refuse(who, core::error_kind::overloaded,
+                   "no database could run it in time");
+            continue;
+        }
+        const auto* one = find(used);
+        const bool sent = one->stage == connection_stage::running;
+        note("timed_out", who, one->upstream, sent ? "sent" : "not sent");
+        who.current->connection = 0;
+        if (who.transaction)
+            who.transaction->connection = 0;
+        drop(used);
+        refuse(who,
+               sent ? core::error_kind::outcome_unknown
+                    : core::error_kind::overloaded,
+               "the time limit of the statement has passed");
+    }
+}
+
+actions pooler::tick(core::boot_instant now)
+{
+    m_now = now;
+    give_up_late_work();
+    for (const auto id : m_queue)
+    {
+        auto& what = *m_sessions.at(id).current;
+        if (now - what.received >
+            retry_interval * static_cast<int>(what.attempts + 1))
+            what.excluded.clear();
+    }
+    serve_queue();
+    probe_silent();
+    return take();
+}
+
+} // namespace plantainward::pooling
--- /dev/null
+++ b/src/plantainward/pooling/pooler.hpp
@@ -0,0 +1,177 @@
+#pragma once
+
+#include <plantainward/core/boot_clock.hpp>
+#include <plantainward/core/time.hpp>
+#include <plantainward/pooling/action.hpp>
+#include <plantainward/pooling/service_view.hpp>
+#include <plantainward/pooling/session.hpp>
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace plantainward::pooling
+{
+
+/// A decision about one request, for logs and metrics.
+struct decision
+{
+    std::string_view what;
+    std::string request;
+    std::string service;
+    std::string upstream;
+    std::string detail;
+};
+
+/// Receives decisions; must not block.
+using decision_observer = std::function<void(const decision&)>;
+
+/// How one statement ended, for metrics.
+struct finished_statement
+{
+    const routes::route& route;
+    std::optional<core::error_kind> error;
+    bool at_replica{false};
+    core::millis waited{0};
+};
+
+using statement_observer = std::function<void(const finished_statement&)>;
+
+/// Settings of the pooler.
+struct pooler_options
+{
+    std::string failure_domain;
+};
+
+/// The decisions of one host between callers' sessions and databases.
+///
+/// Takes events with the time and returns actions; holds no socket and no
+/// clock. Sessions share few connections; a transaction keeps its connection
+/// to its end. What may have run is never sent again unless it only reads.
+class pooler
+{
+public:
+    explicit pooler(pooler_options options) : m_options(std::move(options)) {}
+
+    void observe(decision_observer on_decision,
+                 statement_observer on_statement);
+
+    /// Takes a newer routing; an older one is dropped.
+    bool set_routing(routes::routing routing, core::boot_instant now);
+    const routes::routing& routing() const { return m_routing; }
+
+    /// Takes the registered databases of all services.
+    actions set_upstreams(const std::vector<routes::upstream>& upstreams,
+                          core::boot_instant now);
+
+    /// Hosts that share the connections of the databases.
+    void set_hosts(std::size_t count);
+
+    /// Names the primary of a service and until when it may be used.
+    actions set_primary(const std::string& service, const std::string& upstream,
+                        core::boot_instant until, core::boot_instant now);
+
+    /// Takes a mark that a peer made.
+    void add_mark(const std::string& service, const freshness::mark& one);
+    std::optional<freshness::mark>
+    newest_mark(const std::string& service) const;
+
+    /// Whether a database seems not to answer this host.
+    bool is_doubted(const std::string& service, const std::string& upstream,
+                    core::boot_instant now) const;
+
+    /// Opens a session; false when no route has this database name.
+    bool open_session(session_id id, const std::string& database,
+                      core::boot_instant now);
+    actions close_session(session_id id, core::boot_instant now);
+    actions on_statement(session_id id, sql::statement one,
+                         core::boot_instant now);
+
+    /// Sessions without a transaction and without a statement in work.
+    std::vector<session_id> idle_sessions() const;
+    std::size_t session_count() const { return m_sessions.size(); }
+
+    /// Ends all open transactions that are not running a statement.
+    actions end_transactions(core::boot_instant now);
+
+    actions on_opened(connection_id id, core::boot_instant now);
+    actions on_open_failed(connection_id id, std::optional<sql::refusal> why,
+                           core::boot_instant now);
+    actions on_closed(connection_id id, core::boot_instant now);
+    actions on_answer(connection_id id, sql::command_answer answer,
+                      core::boot_instant now);
+
+    /// Ends what has waited too long, asks silent databases, serves the queue.
+    actions tick(core::boot_instant now);
+
+    /// Whether a statement waits or runs.
+    bool is_busy() const { return m_in_work > 0; }
+
+private:
+    struct connection_place
+    {
+        std::string service;
+        std::string upstream;
+    };
+
+    // Sessions and statements.
+    void start(session& who, sql::statement one);
+    void start_work(session& who, sql::statement one);
+    void begin(session& who, const sql::statement& one);
+    void roll_back(session& who);
+    void reply(session& who, sql::reply answer);
+    void finish(session& who, sql::reply answer);
+    void refuse(session& who, core::error_kind kind, const std::string& text);
+    void fail_transaction(session& who, bool told);
+
+    // The queue.
+    void wait(session& who);
+    void serve_queue();
+    bool try_start(session& who);
+    void give_up_late_work();
+
+    // Connections.
+    connection* find(connection_id id);
+    upstream_pool* pool_of(connection_id id);
+    service_view* service_of(connection_id id);
+    connection& open(const std::string& service, upstream_pool& pool);
+    void use(connection& one, session& who);
+    void set_up(connection& one, session& who);
+    void send_main(connection& one, session& who);
+    void release(connection& one, bool in_transaction);
+    void drop(connection_id id);
+    void connection_lost(connection_id id);
+    void work_lost(session& who, connection_stage stage);
+    void retry_elsewhere(session& who, const std::string& upstream,
+                         sql::refusal why);
+    void setup_ended(connection& one, const sql::command_answer& last);
+    void main_ended(connection& one, sql::command_answer answer);
+    void main_failed(connection& one, session& who, sql::command_answer answer);
+    void learn(connection& one, const sql::command_answer& answer);
+    void probe_silent();
+    void share_connections();
+    void note(std::string_view what, const session& who,
+              const std::string& upstream, std::string detail);
+    actions take() { return std::exchange(m_out, {}); }
+
+    pooler_options m_options;
+    decision_observer m_on_decision;
+    statement_observer m_on_statement;
+    routes::routing m_routing;
+    std::size_t m_hosts{1};
+    std::map<std::string, service_view> m_services;
+    std::unordered_map<connection_id, connection_place> m_places;
+    std::unordered_map<session_id, session> m_sessions;
+    std::vector<session_id> m_queue;
+    std::size_t m_in_work{0};
+    connection_id m_last_connection{0};
+    core::boot_instant m_now{};
+    actions m_out;
+};
+
+} // namespace plantainward::pooling
--- /dev/null
+++ b/src/plantainward/pooling/upstream_pool.hpp
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <plantainward/core/boot_clock.hpp>
+#include <plantainward/core/time.hpp>
+#include <plantainward/pooling/connection.hpp>
+#include <plantainward/routes/routing.hpp>
+
+#include <cstddef>
+#include <map>
+#include <optional>
+
+namespace plantainward::pooling
+{
+
+/// The connections of this host to one database, and what they show of it.
+class upstream_pool
+{
+public:
+    explicit upstream_pool(routes::upstream what) : m_what(std::move(what)) {}
+
+    const routes::upstream& what() const { return m_what; }
+    void set_what(const routes::upstream& what) { m_what = what; }
+
+    /// Connections that this host may hold.
+    void set_share(std::size_t share) { m_share = share; }
+    std::size_t share() const { return m_share; }
+
+    std::map<connection_id, connection>& connections() { return m_connections; }
+    connection* find(connection_id id);
+
+    /// An idle connection, if possible one that holds these values.
+    connection* idle_connection(const session_values& values);
+
+    /// Whether one more connection may be opened now.
+    bool may_open(core::boot_instant now) const;
+
+    /// Whether a statement could start here now.
+    bool has_room(core::boot_instant now) const;
+
+    connection& add(connection_id id, core::boot_instant now);
+    void erase(connection_id id) { m_connections.erase(id); }
+
+    /// Bytes came from the database.
+    void heard(core::boot_instant now);
+    /// A connection was refused, reset or timed out.
+    void failed(core::boot_instant now);
+    /// The database has no room for a connection of ours.
+    void crowded(core::boot_instant now);
+
+    /// Whether the database seems not to answer this host.
+    bool is_doubted(core::boot_instant now) const;
+
+    /// Whether a question should be asked to see if the database answers.
+    bool wants_probe(core::boot_instant now) const;
+
+    /// Statements that run or are being prepared.
+    std::size_t busy() const;
+
+    /// Last known end of the log that reads see here.
+    const upstream::log_point& known_point() const { return m_known_point; }
+    void saw_point(const upstream::log_point& point);
+
+    /// Takes how long a statement took.
+    void took(core::millis time);
+    /// Expected time of one statement, in milliseconds.
+    double expected_ms() const { return m_expected_ms; }
+
+private:
+    std::optional<core::boot_instant> oldest_unanswered() const;
+
+    routes::upstream m_what;
+    std::size_t m_share{1};
+    std::map<connection_id, connection> m_connections;
+    core::boot_instant m_heard_at{};
+    std::optional<core::boot_instant> m_first_failure;
+    std::size_t m_failures{0};
+    core::boot_instant m_no_open_before{};
+    upstream::log_point m_known_point;
+    double m_expected_ms{15};
+};
+
+} // namespace plantainward::pooling
--- /dev/null
+++ b/src/plantainward/succession/claim.cpp
@@ -0,0 +1,279 @@
+#include <plantainward/succession/claim.hpp>
+
+#include <plantainward/succession/primary_lease.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace plantainward::succession
+{
+
+namespace
+{
+
+// Between questions to each database; a few of their round trips.
+constexpr core::millis status_interval{60};
+
+// Beyond the validity of leases: timers fire late by some milliseconds.
+constexpr core::millis fence_slack{100};
+
+// Wait for the status of databases that don't answer, after the fence.
+constexpr core::millis answer_patience{350};
+
+// Wait for a replica to reach the end of a demoted primary's log; a lagging
+// replica still receives within a network delay.
+constexpr core::millis catch_up_patience{1000};
+
+// A promotion call must follow its conditional write within this time; others
+// take the claim over no sooner than `takeover_silence` after that write.
+constexpr core::millis promote_within{1000};
+
+// A promotion takes some hundred ms up to a second; a call whose effect does
+// not show by then is repeated.
+constexpr core::millis promote_patience{2500};
+
+// A database that was not running is not tried again for this time.
+constexpr core::millis rejected_pause{1000};
+
+const routes::upstream* find(const claim_view& view, const std::string& id)
+{
+    for (const auto& one : view.upstreams)
+        if (one.id == id)
+            return &one;
+    return nullptr;
+}
+
+} // namespace
+
+claim::claim(std::string self, leadership before, claim_cause cause,
+             core::boot_instant now)
+    : m_self(std::move(self)), m_before(std::move(before)), m_record(m_before),
+      m_cause(cause), m_started(now)
+{
+}
+
+claim_actions claim::start()
+{
+    claim_actions out;
+    write(leadership_phase::claimed, m_before.primary, m_before.born_ms,
+          claim_stage::writing, m_started, out);
+    return out;
+}
+
+void claim::write(leadership_phase phase, const std::string& primary,
+                  std::uint64_t born_ms, claim_stage stage,
+                  core::boot_instant now, claim_actions& out)
+{
+    m_wanted = {0, phase, primary, born_ms, m_self};
+    m_stage = stage;
+    m_last_sent = now;
+    out.emplace_back(write_action{m_record.version, m_wanted});
+}
+
+claim_actions claim::on_write(write_end end, std::uint64_t version,
+                              core::boot_instant now)
+{
+    if (end != write_end::written)
+    {
+        m_stage = claim_stage::finished;
+        return {};
+    }
+    m_record = m_wanted;
+    m_record.version = version;
+    switch (m_stage)
+    {
+    case claim_stage::writing:
+        m_claimed_at = now;
+        m_stage = claim_stage::gathering;
+        return {};
+    case claim_stage::confirming:
+        if (now - m_last_sent > promote_within)
+        {
+            m_stage = claim_stage::finished;
+            return {};
+        }
+        m_stage = claim_stage::promoting;
+        m_promoted_at = now;
+        return {promote_action{m_record.primary, version}};
+    default:
+        m_stage = claim_stage::finished;
+        return {};
+    }
+}
+
+void claim::on_status(const std::string& upstream, core::boot_instant asked,
+                      std::optional<sql::database_status> status)
+{
+    if (!status)
+        m_answers.erase(upstream);
+    else
+        m_answers[upstream] = {asked, *status};
+}
+
+claim_actions claim::on_promote(promote_end end, core::boot_instant now)
+{
+    if (m_stage == claim_stage::promoting && end == promote_end::rejected)
+    {
+        m_rejected[m_record.primary] = now;
+        m_stage = claim_stage::gathering;
+    }
+    return {};
+}
+
+const claim::answer* claim::answer_of(const std::string& upstream) const
+{
+    const auto found = m_answers.find(upstream);
+    return found == m_answers.end() ? nullptr : &found->second;
+}
+
+void claim::ask_all(const claim_view& view, core::boot_instant now,
+                    claim_actions& out)
+{
+    if (now - m_last_asked < status_interval)
+        return;
+    m_last_asked = now;
+    for (const auto& one : view.upstreams)
+        out.emplace_back(status_action{one.id});
+}
+
+// Whether no host can still use the primary of before the claim.
+bool claim::is_fenced(const claim_view& view, core::boot_instant now)
+{
+    if (m_fenced_at)
+        return true;
+    const auto aware = view.aware(m_record.version, m_claimed_at);
+    if (!m_majority_at && aware * 2 > view.members)
+        m_majority_at = now;
+    const bool all_agree = aware >= view.members;
+    const bool leases_over =
+        m_majority_at && now - std::max(m_claimed_at, *m_majority_at) >
+                             primary_lease::validity + fence_slack;
+    if (m_cause == claim_cause::unset || all_agree || leases_over)
+        m_fenced_at = now;
+    return m_fenced_at.has_value();
+}
+
+// The primary that goes on: it answers, stays, and nobody has a longer log.
+std::optional<std::string> claim::standing_primary(const claim_view& view,
+                                                   core::boot_instant now) const
+{
+    // An abandoned claim may have promoted a database that is not seen now.
+    if (m_cause == claim_cause::abandoned || m_demoted_at ||
+        !has_everything(view, now))
+        return std::nullopt;
+    const auto best = best_candidate(view);
+    if (!best)
+        return std::nullopt;
+    const auto longest = answer_of(*best)->status.received;
+    std::optional<std::string> found;
+    upstream::term_number highest = 0;
+    for (const auto& one : view.upstreams)
+    {
+        const auto* known = answer_of(one.id);
+        if (known == nullptr || one.leaving || !known->status.is_primary ||
+            known->status.received < longest || known->status.term < highest)
+            continue;
+        found = one.id;
+        highest = known->status.term;
+    }
+    return found;
+}
+
+std::optional<std::string> claim::best_candidate(const claim_view& view) const
+{
+    std::optional<std::string> best;
+    upstream::log_point longest;
+    for (const auto& one : view.upstreams)
+    {
+        const auto* known = answer_of(one.id);
+        if (known == nullptr || one.leaving || m_rejected.contains(one.id))
+            continue;
+        if (best && known->status.received <= longest)
+            continue;
+        best = one.id;
+        longest = known->status.received;
+    }
+    return best;
+}
+
+// Every registered database has answered since the last event that could
+// change a log, or has had its time to.
+bool claim::has_everything(const claim_view& view, core::boot_instant now) const
+{
+    auto since = std::max(m_claimed_at, m_fenced_at.value_or(m_claimed_at));
+    since = std::max(since, m_demoted_at.value_or(since));
+    if (now - since > answer_patience)
+        return true;
+    return std::all_of(view.upstreams.begin(), view.upstreams.end(),
+                       [&](const routes::upstream& one) {
+                           const auto* known = answer_of(one.id);
+                           return known != nullptr && known->asked >= since;
+                       });
+}
+
+// Orders the old primary to follow, once; true when that was needed now.
+bool claim::demote_old_primary(claim_actions& out)
+{
+    const auto* old = answer_of(m_before.primary);
+    if (m_demoted_at || old == nullptr || !old->status.is_primary)
+        return false;
+    m_demoted_at = m_last_asked;
+    out.emplace_back(demote_action{m_before.primary, old->status.term + 1});
+    return true;
+}
+
+void claim::gather(const claim_view& view, core::boot_instant now,
+                   claim_actions& out)
+{
+    ask_all(view, now, out);
+    const bool fenced = is_fenced(view, now);
+    const auto standing = standing_primary(view, now);
+    // Hosts that don't know of the claim can only use the old primary.
+    if (standing && (fenced || m_cause == claim_cause::unset ||
+                     *standing == m_before.primary))
+        return write(leadership_phase::settled, *standing,
+                     find(view, *standing)->born_ms, claim_stage::settling, now,
+                     out);
+    if (!fenced || demote_old_primary(out) || !has_everything(view, now))
+        return;
+    const auto best = best_candidate(view);
+    if (!best)
+        return;
+    // A demoted primary's log is final, and a replica may still reach its end.
+    const auto* old = answer_of(m_before.primary);
+    if (old != nullptr && *best != m_before.primary &&
+        answer_of(*best)->status.received < old->status.received &&
+        now - *m_fenced_at < catch_up_patience)
+        return;
+    write(leadership_phase::claimed, *best, find(view, *best)->born_ms,
+          claim_stage::confirming, now, out);
+}
+
+claim_actions claim::tick(const claim_view& view, core::boot_instant now)
+{
+    claim_actions out;
+    std::erase_if(m_rejected, [&](const auto& one) {
+        return now - one.second > rejected_pause;
+    });
+    if (m_stage == claim_stage::gathering)
+    {
+        gather(view, now, out);
+        return out;
+    }
+    if (m_stage != claim_stage::promoting)
+        return out;
+    ask_all(view, now, out);
+    const auto* chosen = answer_of(m_record.primary);
+    if (chosen != nullptr && chosen->asked >= m_promoted_at &&
+        chosen->status.is_primary)
+    {
+        write(leadership_phase::settled, m_record.primary, m_record.born_ms,
+              claim_stage::settling, now, out);
+        return out;
+    }
+    if (now - m_promoted_at > promote_patience)
+        m_stage = claim_stage::gathering;
+    return out;
+}
+
+} // namespace plantainward::succession
--- /dev/null
+++ b/src/plantainward/succession/claim.hpp
@@ -0,0 +1,190 @@
+#pragma once
+
+#include <plantainward/core/boot_clock.hpp>
+#include <plantainward/core/enum_names.hpp>
+#include <plantainward/core/time.hpp>
+#include <plantainward/routes/routing.hpp>
+#include <plantainward/sql/upstream_message.hpp>
+#include <plantainward/succession/leadership.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace plantainward::succession
+{
+
+/// Why a primary is replaced.
+enum class claim_cause : std::uint8_t
+{
+    /// No record exists yet.
+    unset,
+    /// The host that was replacing the primary does not go on.
+    abandoned,
+    /// Most hosts get no answer from the primary.
+    lost,
+    /// The primary announces its end.
+    leaving,
+    /// The primary is no longer registered.
+    gone,
+    /// The primary has restarted.
+    restarted
+};
+
+/// Names of the causes in logs.
+inline constexpr core::enum_names<claim_cause, 6> cause_names{
+    {"unset", "abandoned", "lost", "leaving", "gone", "restarted"}};
+
+/// Writes the record if its version is still `expected`.
+struct write_action
+{
+    std::uint64_t expected{0};
+    leadership record;
+};
+
+/// Asks a database for its status.
+struct status_action
+{
+    std::string upstream;
+};
+
+/// Makes a primary below this term a replica.
+struct demote_action
+{
+    std::string upstream;
+    upstream::term_number term{0};
+};
+
+/// Makes a database the primary; `token` grows with each claim.
+struct promote_action
+{
+    std::string upstream;
+    std::uint64_t token{0};
+};
+
+using claim_action =
+    std::variant<write_action, status_action, demote_action, promote_action>;
+using claim_actions = std::vector<claim_action>;
+
+/// How a conditional write of the record ended.
+enum class write_end : std::uint8_t
+{
+    written,
+    /// The record has another version.
+    conflict,
+    /// It may or may not have been written.
+    unknown
+};
+
+/// How a promotion call ended.
+enum class promote_end : std::uint8_t
+{
+    accepted,
+    /// The database is not running.
+    rejected,
+    /// It may or may not take effect.
+    unknown
+};
+
+/// What a claim knows of the world at one step.
+struct claim_view
+{
+    /// Databases of the service that are registered.
+    std::vector<routes::upstream> upstreams;
+    /// Registered hosts, this one included.
+    std::size_t members{1};
+    /// Hosts that have given up the primary of before the claim.
+    std::function<std::size_t(std::uint64_t version, core::boot_instant since)>
+        aware;
+};
+
+/// Stage of a claim.
+enum class claim_stage : std::uint8_t
+{
+    writing,
+    gathering,
+    confirming,
+    promoting,
+    settling,
+    finished
+};
+
+/// Names of the stages in logs.
+inline constexpr core::enum_names<claim_stage, 6> stage_names{
+    {"writing", "gathering", "confirming", "promoting", "settling",
+     "finished"}};
+
+/// One attempt of this host to replace the primary of a service.
+///
+/// The record is claimed by a conditional write, then every use of the old
+/// primary ends: all members agree, or the leases of those that don't run out.
+/// Only then the longest log among the databases is promoted, and the record
+/// is settled. Any step may be the last; another host claims the record then.
+class claim
+{
+public:
+    claim(std::string self, leadership before, claim_cause cause,
+          core::boot_instant now);
+
+    /// The first action.
+    claim_actions start();
+
+    claim_actions on_write(write_end end, std::uint64_t version,
+                           core::boot_instant now);
+    void on_status(const std::string& upstream, core::boot_instant asked,
+                   std::optional<sql::database_status> status);
+    claim_actions on_promote(promote_end end, core::boot_instant now);
+    claim_actions tick(const claim_view& view, core::boot_instant now);
+
+    claim_stage stage() const { return m_stage; }
+    claim_cause cause() const { return m_cause; }
+    /// The record as this claim last wrote it.
+    const leadership& record() const { return m_record; }
+    core::boot_instant started() const { return m_started; }
+
+private:
+    struct answer
+    {
+        core::boot_instant asked;
+        sql::database_status status;
+    };
+
+    void ask_all(const claim_view& view, core::boot_instant now,
+                 claim_actions& out);
+    bool is_fenced(const claim_view& view, core::boot_instant now);
+    std::optional<std::string> standing_primary(const claim_view& view,
+                                                core::boot_instant now) const;
+    std::optional<std::string> best_candidate(const claim_view& view) const;
+    bool has_everything(const claim_view& view, core::boot_instant now) const;
+    void gather(const claim_view& view, core::boot_instant now,
+                claim_actions& out);
+    bool demote_old_primary(claim_actions& out);
+    void write(leadership_phase phase, const std::string& primary,
+               std::uint64_t born_ms, claim_stage stage, core::boot_instant now,
+               claim_actions& out);
+    const answer* answer_of(const std::string& upstream) const;
+
+    std::string m_self;
+    leadership m_before;
+    leadership m_record;
+    leadership m_wanted;
+    claim_cause m_cause;
+    claim_stage m_stage{claim_stage::writing};
+    core::boot_instant m_started;
+    core::boot_instant m_last_sent{};
+    core::boot_instant m_claimed_at{};
+    std::optional<core::boot_instant> m_majority_at;
+    std::optional<core::boot_instant> m_fenced_at;
+    std::optional<core::boot_instant> m_demoted_at;
+    core::boot_instant m_last_asked{};
+    core::boot_instant m_promoted_at{};
+    std::map<std::string, answer> m_answers;
+    std::map<std::string, core::boot_instant> m_rejected;
+};
+
+} // namespace plantainward::succession
--- /dev/null
+++ b/src/plantainward/succession/leadership.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <plantainward/core/enum_names.hpp>
+
+#include <cstdint>
+#include <string>
+
+namespace plantainward::succession
+{
+
+/// What the shared record of a service's primary says.
+enum class leadership_phase : std::uint8_t
+{
+    /// The named database is the primary.
+    settled,
+    /// A host is replacing the primary; nobody may use one.
+    claimed
+};
+
+/// Names of the phases in logs.
+inline constexpr core::enum_names<leadership_phase, 2> phase_names{
+    {"settled", "claimed"}};
+
+/// The shared record of a service's primary, kept in the table service.
+///
+/// Its version grows with each change and orders the records of a service.
+struct leadership
+{
+    /// 0: nothing is known.
+    std::uint64_t version{0};
+    leadership_phase phase{leadership_phase::claimed};
+    /// Id of the primary, or of the database that is to become it.
+    std::string primary;
+    /// Start of that database; a restarted one is another.
+    std::uint64_t born_ms{0};
+    /// Host that wrote the record.
+    std::string writer;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(version, phase, primary, born_ms, writer);
+    }
+
+    bool operator==(const leadership&) const = default; // NOLINT
+};
+
+} // namespace plantainward::succession
--- /dev/null
+++ b/src/plantainward/succession/succession.cpp
@@ -0,0 +1,142 @@
+#include <plantainward/succession/succession.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace plantainward::succession
+{
+
+namespace
+{
+
+// Each further host waits this long before it acts on the same cause; a
+// conditional write and its news take about 20 ms.
+constexpr core::millis rank_delay{200};
+
+// A claim whose writer is silent is taken over after this time. Longer than
+// the time within which a promotion follows its conditional write.
+constexpr core::millis takeover_silence{1500};
+
+// A claim of a live writer that makes no progress; longer than a claim that
+// waits for leases and for a slow promotion.
+constexpr core::millis takeover_stuck{7000};
+
+// Pause after a claim that ended without a result.
+constexpr core::millis retry_pause{300};
+
+} // namespace
+
+succession::succession(std::string self, std::string service)
+    : m_self(std::move(self)), m_service(std::move(service))
+{
+}
+
+bool succession::take(const leadership& record, core::boot_instant now)
+{
+    if (!m_lease.take(record))
+        return false;
+    m_record_since = now;
+    m_cause.reset();
+    const bool superseded = m_claim &&
+                            record.version > m_claim->record().version &&
+                            record.writer != m_self;
+    if (superseded)
+        m_claim.reset();
+    return true;
+}
+
+std::optional<claim_cause> succession::cause(const succession_view& view,
+                                             core::boot_instant now) const
+{
+    const auto& record = m_lease.record();
+    if (view.claim.upstreams.empty())
+        return std::nullopt;
+    if (record.version == 0)
+        return claim_cause::unset;
+    if (record.phase == leadership_phase::claimed)
+    {
+        // A record of this host without a claim: the answer to its write was
+        // lost, or the process has restarted.
+        if (record.writer == m_self)
+            return claim_cause::abandoned;
+        const auto patience =
+            view.writer_is_live ? takeover_stuck : takeover_silence;
+        if (now - m_record_since < patience)
+            return std::nullopt;
+        return claim_cause::abandoned;
+    }
+    const auto& upstreams = view.claim.upstreams;
+    const auto primary = std::find_if(
+        upstreams.begin(), upstreams.end(),
+        [&](const routes::upstream& one) { return one.id == record.primary; });
+    if (primary == upstreams.end())
+        return claim_cause::gone;
+    if (primary->born_ms != record.born_ms)
+        return claim_cause::restarted;
+    if (primary->leaving)
+        return claim_cause::leaving;
+    if (view.doubts_primary && (view.doubters + 1) * 2 > view.live)
+        return claim_cause::lost;
+    return std::nullopt;
+}
+
+claim_actions succession::tick(const succession_view& view,
+                               core::boot_instant now)
+{
+    if (m_claim)
+    {
+        auto out = m_claim->tick(view.claim, now);
+        end_if_finished(now);
+        return out;
+    }
+    const auto found = cause(view, now);
+    if (found != m_cause)
+    {
+        m_cause = found;
+        m_cause_since = now;
+    }
+    if (!found || now < m_not_before ||
+        now - m_cause_since < rank_delay * static_cast<int>(view.rank))
+        return {};
+    m_claim.emplace(m_self, m_lease.record(), *found, now);
+    return m_claim->start();
+}
+
+claim_actions succession::on_write(write_end end, std::uint64_t version,
+                                   core::boot_instant now)
+{
+    if (!m_claim)
+        return {};
+    auto out = m_claim->on_write(end, version, now);
+    if (end == write_end::written)
+    {
+        const auto record = m_claim->record();
+        if (m_lease.take(record))
+            m_record_since = now;
+    }
+    end_if_finished(now);
+    return out;
+}
+
+void succession::on_status(const std::string& upstream,
+                           core::boot_instant asked,
+                           std::optional<sql::database_status> status)
+{
+    if (m_claim)
+        m_claim->on_status(upstream, asked, status);
+}
+
+claim_actions succession::on_promote(promote_end end, core::boot_instant now)
+{
+    return m_claim ? m_claim->on_promote(end, now) : claim_actions{};
+}
+
+void succession::end_if_finished(core::boot_instant now)
+{
+    if (!m_claim || m_claim->stage() != claim_stage::finished)
+        return;
+    m_claim.reset();
+    m_not_before = now + retry_pause;
+}
+
+} // namespace plantainward::succession
--- /dev/null
+++ b/src/plantainward/succession/succession.hpp
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <plantainward/succession/claim.hpp>
+#include <plantainward/succession/primary_lease.hpp>
+
+namespace plantainward::succession
+{
+
+/// What this host sees of one service at one step.
+struct succession_view
+{
+    claim_view claim;
+    /// This host gets no answer from the recorded primary.
+    bool doubts_primary{false};
+    /// Other live hosts of which this is true.
+    std::size_t doubters{0};
+    /// Live hosts, this one included.
+    std::size_t live{1};
+    /// Place of this host in the order in which hosts act on the service.
+    std::size_t rank{0};
+    /// The host that wrote the record is live.
+    bool writer_is_live{true};
+};
+
+/// The primary of one service as this host knows it, and its replacement.
+class succession
+{
+public:
+    succession(std::string self, std::string service);
+
+    /// Takes a record from the table service or from a peer.
+    bool take(const leadership& record, core::boot_instant now);
+
+    /// The record of this version was current at this instant or later.
+    void prove(std::uint64_t version, core::boot_instant at)
+    {
+        m_lease.prove(version, at);
+    }
+
+    /// Starts, goes on with or ends a claim.
+    claim_actions tick(const succession_view& view, core::boot_instant now);
+
+    claim_actions on_write(write_end end, std::uint64_t version,
+                           core::boot_instant now);
+    void on_status(const std::string& upstream, core::boot_instant asked,
+                   std::optional<sql::database_status> status);
+    claim_actions on_promote(promote_end end, core::boot_instant now);
+
+    const primary_lease& lease() const { return m_lease; }
+    const std::string& service() const { return m_service; }
+    const std::optional<claim>& running() const { return m_claim; }
+
+private:
+    std::optional<claim_cause> cause(const succession_view& view,
+                                     core::boot_instant now) const;
+    void end_if_finished(core::boot_instant now);
+
+    std::string m_self;
+    std::string m_service;
+    primary_lease m_lease;
+    core::boot_instant m_record_since{};
+    std::optional<claim_cause> m_cause;
+    core::boot_instant m_cause_since{};
+    core::boot_instant m_not_before{};
+    std::optional<claim> m_claim;
+};
+
+} // namespace plantainward::succession
