--- a/src/plantainward/entry/entry_host.cpp
+++ b/src/plantainward/entry/entry_host.cpp
@@ -20,12 +20,19 @@
 // Between reads of the records while the quorum fails.
 constexpr core::millis record_read_interval{400};
 
-// Between reads of the routing because of a peer's newer version.
-constexpr core::millis routing_read_interval{300};
+// A feed delivers within this time; a peer that knows more after it shows that
+// the feed of this host fails.
+constexpr core::millis feed_patience{500};
+
+// Between reads of tables because of a peer's newer version.
+constexpr core::millis table_read_interval{500};
 
 // Between removals of lost members, so that news of one arrives first.
 constexpr core::millis removal_interval{1000};
 
+// A lease that is proved late by this much is no isolation; a few heartbeats.
+constexpr core::millis isolation_patience{400};
+
 // Age of a peer's mark up to which it is taken, in milliseconds.
 constexpr std::int32_t largest_mark_age_ms = 3000;
 
@@ -65,33 +72,43 @@
         return out;
     tell("routing_in_force", {}, "version " + std::to_string(version));
     for (const auto& [name, limits] : m_pooler.routing().services)
+    {
         succession_of(name);
+        m_service_keys[fleet::key_of(name)] = name;
+    }
     update_upstreams(now, out);
     return out;
 }
 
 entry_actions entry_host::on_upstreams(const std::vector<routes::upstream>& all,
+                                       std::uint64_t version,
                                        core::boot_instant now)
 {
     entry_actions out;
+    m_upstreams_version =
+        std::max({m_upstreams_version, version, m_wanted_upstreams});
     m_directory.replace(all, now);
     update_upstreams(now, out);
     return out;
 }
 
 entry_actions entry_host::on_upstream(const routes::upstream& one,
+                                      std::uint64_t version,
                                       core::boot_instant now)
 {
     entry_actions out;
+    m_upstreams_version = std::max(m_upstreams_version, version);
     m_directory.put(one);
     update_upstreams(now, out);
     return out;
 }
 
 entry_actions entry_host::on_upstream_removed(const std::string& id,
+                                              std::uint64_t version,
                                               core::boot_instant now)
 {
     entry_actions out;
+    m_upstreams_version = std::max(m_upstreams_version, version);
     m_directory.remove(id, now);
     tell("upstream_unregistered", {}, id);
     update_upstreams(now, out);
@@ -180,9 +197,14 @@
         return out;
     const auto& peer = m_fleet.peers().at(got->host);
     bool changed = false;
-    for (const auto& [service, news] : got->services)
+    for (const auto& [key, news] : got->services)
     {
-        changed = take_record(service, news.leadership, now, out) || changed;
+        const auto known = m_service_keys.find(key);
+        if (known == m_service_keys.end())
+            continue;
+        const auto& service = known->second;
+        if (news.record)
+            changed = take_record(service, *news.record, now, out) || changed;
         const bool has_mark = news.mark_age_ms >= 0 &&
                               news.mark_age_ms <= largest_mark_age_ms &&
                               peer.confirmed_at != core::boot_instant{};
@@ -191,17 +213,40 @@
                 service, {peer.confirmed_at - core::millis(news.mark_age_ms),
                           news.mark});
     }
-    if (got->routing_version > m_pooler.routing().version &&
-        now - m_last_routing_read > routing_read_interval)
-    {
-        m_last_routing_read = now;
-        out.control.emplace_back(read_routing_action{});
-    }
+    read_what_peers_know(*got, now, out);
     if (changed)
         send_heartbeats(now, out);
     return out;
 }
 
+// The feeds bring changes first; a peer that knows more after some time shows
+// that a feed of this host has gone silent.
+void entry_host::read_what_peers_know(const fleet::heartbeat& got,
+                                      core::boot_instant now,
+                                      entry_actions& out)
+{
+    const bool routing_behind =
+        got.routing_version > m_pooler.routing().version;
+    const bool upstreams_behind = got.upstreams_version > m_upstreams_version;
+    if (!routing_behind && !upstreams_behind)
+    {
+        m_behind_since.reset();
+        return;
+    }
+    if (!m_behind_since)
+        m_behind_since = now;
+    if (now - *m_behind_since < feed_patience ||
+        now - m_last_table_read < table_read_interval)
+        return;
+    m_last_table_read = now;
+    if (routing_behind)
+        out.control.emplace_back(read_routing_action{});
+    if (!upstreams_behind)
+        return;
+    m_wanted_upstreams = got.upstreams_version;
+    out.control.emplace_back(read_upstreams_action{});
+}
+
 entry_actions entry_host::on_record_written(const std::string& service,
                                             succession::write_end end,
                                             std::uint64_t version,
@@ -268,9 +313,9 @@
                                         core::boot_instant now) const
 {
     fleet::service_news made;
-    made.leadership = m_successions.at(service).lease().record();
-    made.doubts_primary =
-        m_pooler.is_doubted(service, made.leadership.primary, now);
+    const auto& record = m_successions.at(service).lease().record();
+    made.record_version = record.version;
+    made.doubts_primary = m_pooler.is_doubted(service, record.primary, now);
     const auto mark = m_pooler.newest_mark(service);
     if (!mark)
         return made;
@@ -278,7 +323,7 @@
     if (age > largest_mark_age_ms)
         return made;
     made.mark = mark->point;
-    made.mark_age_ms = static_cast<std::int32_t>(age);
+    made.mark_age_ms = static_cast<std::int16_t>(age);
     return made;
 }
 
@@ -294,7 +339,14 @@
         auto made = m_fleet.make_for(name);
         made.knows_records = m_knows_records;
         made.routing_version = m_pooler.routing().version;
-        made.services = services;
+        made.upstreams_version = m_upstreams_version;
+        for (const auto& [service, news] : services)
+        {
+            auto& told = made.services[fleet::key_of(service)];
+            told = news;
+            if (m_fleet.version_known_by(name, service) < news.record_version)
+                told.record = m_successions.at(service).lease().record();
+        }
         out.control.emplace_back(
             heartbeat_action{peer.address, fleet::encode(made)});
     }
@@ -419,15 +471,57 @@
     update_upstreams(now, out);
     renew_leases(now, out);
     run_claims(now, out);
-    if (now - m_last_round >= m_fleet_options.interval)
+    const auto doubts = doubted_services(now);
+    const bool doubts_more = doubts > m_doubts;
+    m_doubts = doubts;
+    if (doubts_more || now - m_last_round >= m_fleet_options.interval)
         send_heartbeats(now, out);
     remove_lost_members(now, out);
+    watch_isolation(now);
     return out;
 }
 
+std::size_t entry_host::doubted_services(core::boot_instant now) const
+{
+    return static_cast<std::size_t>(std::count_if(
+        m_successions.begin(), m_successions.end(), [&](const auto& one) {
+            return m_pooler.is_doubted(
+                one.first, one.second.lease().record().primary, now);
+        }));
+}
+
+// A host that can't prove a settled record has lost both the fleet and the
+// table service; nothing that needs a primary can be served here.
+void entry_host::watch_isolation(core::boot_instant now)
+{
+    const bool lacks_proof = std::any_of(
+        m_successions.begin(), m_successions.end(), [&](const auto& one) {
+            const auto& lease = one.second.lease();
+            const auto until = lease.valid_until();
+            return lease.record().phase ==
+                       succession::leadership_phase::settled &&
+                   (!until || *until <= now);
+        });
+    if (!lacks_proof)
+    {
+        if (m_isolated_since)
+            tell("isolation_over", {}, "leases are proved again");
+        m_isolated_since.reset();
+        m_pooler.set_isolated(false);
+        return;
+    }
+    if (!m_isolated_since)
+    {
+        m_isolated_since = now;
+        tell("isolated", {}, "no quorum and no table service for a lease");
+    }
+    m_pooler.set_isolated(now - *m_isolated_since > isolation_patience);
+}
+
 bool entry_host::is_ready(core::boot_instant now) const
 {
-    if (!has_routing() || !m_knows_records || m_upstreams.empty())
+    if (!has_routing() || !m_knows_records || m_upstreams.empty() ||
+        m_pooler.is_isolated())
         return false;
     return std::any_of(
         m_upstreams.begin(), m_upstreams.end(), [&](const auto& one) {
--- a/src/plantainward/entry/entry_host.hpp
+++ b/src/plantainward/entry/entry_host.hpp
@@ -32,6 +32,11 @@
 {
 };
 
+/// A peer knows of changes of the databases that this host doesn't.
+struct read_upstreams_action
+{
+};
+
 /// Writes the record of a service if its version is still the expected one.
 struct write_record_action
 {
@@ -67,8 +72,9 @@
 
 using control_action =
     std::variant<heartbeat_action, read_records_action, read_routing_action,
-                 write_record_action, ask_status_action, demote_upstream_action,
-                 promote_upstream_action, remove_member_action>;
+                 read_upstreams_action, write_record_action, ask_status_action,
+                 demote_upstream_action, promote_upstream_action,
+                 remove_member_action>;
 
 /// What a host does after one event.
 struct entry_actions
@@ -110,11 +116,13 @@
     void observe(belief_observer on_belief);
 
     entry_actions on_routing(routes::routing routing, core::boot_instant now);
+    /// Takes the whole list of databases; versions order its changes.
     entry_actions on_upstreams(const std::vector<routes::upstream>& all,
-                               core::boot_instant now);
+                               std::uint64_t version, core::boot_instant now);
     entry_actions on_upstream(const routes::upstream& one,
-                              core::boot_instant now);
+                              std::uint64_t version, core::boot_instant now);
     entry_actions on_upstream_removed(const std::string& id,
+                                      std::uint64_t version,
                                       core::boot_instant now);
 
     /// Takes all records, read no earlier than `read_at`.
@@ -170,6 +178,10 @@
     bool take_record(const std::string& service,
                      const succession::leadership& record,
                      core::boot_instant now, entry_actions& out);
+    void read_what_peers_know(const fleet::heartbeat& got,
+                              core::boot_instant now, entry_actions& out);
+    std::size_t doubted_services(core::boot_instant now) const;
+    void watch_isolation(core::boot_instant now);
     std::size_t rank_for(const std::string& service,
                          core::boot_instant now) const;
     void tell(std::string_view what, const std::string& service,
@@ -181,13 +193,20 @@
     fleet::fleet_view m_fleet;
     upstream_directory m_directory;
     std::vector<routes::upstream> m_upstreams;
+    std::uint64_t m_upstreams_version{0};
+    /// Version that a peer knew when the list was last asked for.
+    std::uint64_t m_wanted_upstreams{0};
+    std::map<fleet::service_key, std::string> m_service_keys;
     std::map<std::string, succession::succession> m_successions;
     belief_observer m_on_belief;
     bool m_knows_records{false};
     bool m_claims{true};
     core::boot_instant m_last_round{};
     core::boot_instant m_last_record_read{};
-    core::boot_instant m_last_routing_read{};
+    core::boot_instant m_last_table_read{};
+    std::optional<core::boot_instant> m_behind_since;
+    std::optional<core::boot_instant> m_isolated_since;
+    std::size_t m_doubts{0};
     core::boot_instant m_last_removal{};
 };
 
--- a/src/plantainward/fleet/fleet_view.cpp
+++ b/src/plantainward/fleet/fleet_view.cpp
@@ -16,14 +16,14 @@
 
 const service_news* news_of(const heartbeat& one, const std::string& service)
 {
-    const auto found = one.services.find(service);
+    const auto found = one.services.find(key_of(service));
     return found == one.services.end() ? nullptr : &found->second;
 }
 
 std::uint64_t version_in(const heartbeat& one, const std::string& service)
 {
     const auto* news = news_of(one, service);
-    return news == nullptr ? 0 : news->leadership.version;
+    return news == nullptr ? 0 : news->record_version;
 }
 
 } // namespace
@@ -72,7 +72,7 @@
 }
 
 std::optional<core::boot_instant>
-fleet_view::sent_at(std::uint64_t sequence) const
+fleet_view::sent_at(std::uint32_t sequence) const
 {
     for (const auto& one : m_rounds)
         if (one.sequence == sequence)
@@ -122,6 +122,13 @@
     return instant;
 }
 
+std::uint64_t fleet_view::version_known_by(const std::string& member,
+                                           const std::string& service) const
+{
+    const auto found = m_peers.find(member);
+    return found == m_peers.end() ? 0 : version_in(found->second.last, service);
+}
+
 std::size_t fleet_view::members_aware(const std::string& service,
                                       std::uint64_t version,
                                       core::boot_instant since) const
@@ -147,7 +154,7 @@
         if (now - peer.heard_at > m_options.live_window)
             continue;
         const auto* news = news_of(peer.last, service);
-        if (news == nullptr || news->leadership.version != version)
+        if (news == nullptr || news->record_version != version)
             continue;
         count += news->doubts_primary ? 1 : 0;
     }
--- a/src/plantainward/fleet/fleet_view.hpp
+++ b/src/plantainward/fleet/fleet_view.hpp
@@ -18,11 +18,11 @@
 /// Timing of the heartbeats.
 struct fleet_options
 {
-    /// Between the heartbeats to each member. Five of them fit into the
-    /// validity of a lease, so that lost datagrams don't end it.
-    core::millis interval{400};
+    /// Between the heartbeats to each member. Five fit into the validity of a
+    /// lease, so that lost datagrams don't end it.
+    core::millis interval{300};
     /// Silence after which a member doesn't count as live.
-    core::millis live_window{1300};
+    core::millis live_window{1000};
     /// Silence after which a live member's record may be removed.
     core::millis forget_after{8000};
 };
@@ -70,6 +70,10 @@
     quorum_instant(const std::string& service, std::uint64_t version,
                    core::boot_instant now) const;
 
+    /// Version of the record of a service that a member is known to know.
+    std::uint64_t version_known_by(const std::string& member,
+                                   const std::string& service) const;
+
     /// Members, this host included, that know this version or a newer one, or
     /// that had read no record yet at `since`, when the version was written.
     std::size_t members_aware(const std::string& service, std::uint64_t version,
@@ -93,17 +97,17 @@
 private:
     struct sent_round
     {
-        std::uint64_t sequence{0};
+        std::uint32_t sequence{0};
         core::boot_instant at;
     };
 
-    std::optional<core::boot_instant> sent_at(std::uint64_t sequence) const;
+    std::optional<core::boot_instant> sent_at(std::uint32_t sequence) const;
 
     std::string m_self;
     std::uint64_t m_incarnation;
     fleet_options m_options;
     std::map<std::string, peer_state> m_peers;
-    std::uint64_t m_sequence{0};
+    std::uint32_t m_sequence{0};
     std::deque<sent_round> m_rounds;
 };
 
--- a/src/plantainward/fleet/heartbeat.hpp
+++ b/src/plantainward/fleet/heartbeat.hpp
@@ -12,21 +12,24 @@
 namespace plantainward::fleet
 {
 
+/// Names a service in heartbeats in few bytes.
+using service_key = std::uint32_t;
+
+/// The key of a service's name.
+service_key key_of(std::string_view service);
+
 /// What a host believes of one service.
 struct service_news
 {
-    succession::leadership leadership;
+    /// Version of the record of the primary that the host knows.
+    std::uint64_t record_version{0};
+    /// The record itself, for a peer that knows an older one.
+    std::optional<succession::leadership> record;
     /// The host gets no answer from the primary.
     bool doubts_primary{false};
     /// Newest mark, with its age when the heartbeat was made; negative: none.
     upstream::log_point mark;
-    std::int32_t mark_age_ms{-1};
-
-    template <class Archive>
-    void serialize(Archive& archive)
-    {
-        archive(leadership, doubts_primary, mark, mark_age_ms);
-    }
+    std::int16_t mark_age_ms{-1};
 };
 
 /// A periodic datagram from one host to another.
@@ -34,23 +37,17 @@
 {
     std::string host;
     std::uint64_t incarnation{0};
-    std::uint64_t sequence{0};
+    std::uint32_t sequence{0};
     /// Incarnation and last sequence that the sender got from the receiver.
     std::uint64_t echo_incarnation{0};
-    std::uint64_t echo_sequence{0};
+    std::uint32_t echo_sequence{0};
     /// The sender has read the shared records since its start, so that it
     /// knows of every claim made before.
     bool knows_records{false};
     std::uint64_t routing_version{0};
-    /// By service.
-    std::map<std::string, service_news> services;
-
-    template <class Archive>
-    void serialize(Archive& archive)
-    {
-        archive(host, incarnation, sequence, echo_incarnation, echo_sequence,
-                knows_records, routing_version, services);
-    }
+    /// Version of the list of databases.
+    std::uint64_t upstreams_version{0};
+    std::map<service_key, service_news> services;
 };
 
 /// Bytes of a heartbeat.
--- a/src/plantainward/pooling/pooler.cpp
+++ b/src/plantainward/pooling/pooler.cpp
@@ -310,8 +310,12 @@
         auto& pinned = *find(who.transaction->connection);
         return use(pinned, who);
     }
-    if (!try_start(who))
-        wait(who);
+    if (try_start(who))
+        return;
+    if (m_isolated)
+        return refuse(who, core::error_kind::overloaded,
+                      "this host can't prove which database is the primary");
+    wait(who);
 }
 
 void pooler::reply(session& who, sql::reply answer)
--- a/src/plantainward/pooling/pooler.hpp
+++ b/src/plantainward/pooling/pooler.hpp
@@ -76,6 +76,11 @@
     actions set_primary(const std::string& service, const std::string& upstream,
                         core::boot_instant until, core::boot_instant now);
 
+    /// While isolated, what needs a primary is refused at once: no database
+    /// can be proved to be the primary, and other hosts can serve the caller.
+    void set_isolated(bool isolated) { m_isolated = isolated; }
+    bool is_isolated() const { return m_isolated; }
+
     /// Takes a mark that a peer made.
     void add_mark(const std::string& service, const freshness::mark& one);
     std::optional<freshness::mark>
@@ -169,6 +174,7 @@
     std::unordered_map<session_id, session> m_sessions;
     std::vector<session_id> m_queue;
     std::size_t m_in_work{0};
+    bool m_isolated{false};
     connection_id m_last_connection{0};
     core::boot_instant m_now{};
     actions m_out;
--- a/src/plantainward/succession/primary_lease.hpp
+++ b/src/plantainward/succession/primary_lease.hpp
@@ -19,7 +19,7 @@
 {
 public:
     /// Longest use of a primary without a new proof. Five heartbeats fit in.
-    static constexpr core::millis validity{2000};
+    static constexpr core::millis validity{1500};
 
     /// Takes a record; older ones than the known one are dropped.
     /// True when it changed what is known.
