--- a/src/plantainward/entry/entry_host.cpp
+++ b/src/plantainward/entry/entry_host.cpp
@@ -15,7 +15,7 @@
 
 // A lease that would run out within this time is renewed from the table
 // service, since the fleet's quorum has not renewed it.
-constexpr core::millis renew_ahead{1000};
+constexpr core::millis renew_ahead{500};
 
 // Between reads of the records while the quorum fails.
 constexpr core::millis record_read_interval{400};
