--- a/src/plantainward/entry/entry_host.cpp
+++ b/src/plantainward/entry/entry_host.cpp
@@ -18,7 +18,10 @@
 constexpr core::millis renew_ahead{500};
 
 // Between reads of the records while the quorum fails.
-constexpr core::millis record_read_interval{400};
+constexpr core::millis record_read_interval{500};
+
+// Between reads of the records while one is claimed or does not exist yet.
+constexpr core::millis unsettled_read_interval{1500};
 
 // A feed delivers within this time; a peer that knows more after it shows that
 // the feed of this host fails.
@@ -459,7 +462,13 @@
                 one.prove(version, *at);
         update_primary(one, now, out);
         const auto until = one.lease().valid_until();
-        runs_out = runs_out || !until || *until - now < renew_ahead;
+        const bool settled =
+            one.lease().record().phase == succession::leadership_phase::settled;
+        // News of a claim comes from its writer first.
+        const bool is_late =
+            settled ? !until || *until - now < renew_ahead
+                    : now - m_last_record_read > unsettled_read_interval;
+        runs_out = runs_out || is_late;
     }
     if (!runs_out || now - m_last_record_read < record_read_interval)
         return;
--- a/src/plantainward/pooling/placement.cpp
+++ b/src/plantainward/pooling/placement.cpp
@@ -95,6 +95,8 @@
             continue;
         if (pool.what().leaving || !is_usable(pool, what, now))
             continue;
+        if (!is_primary && pool.is_behind(*point, now))
+            continue;
         auto cost = pool.expected_ms() * static_cast<double>(pool.busy() + 1) +
                     distance_ms(pool, own_domain);
         if (is_primary)
--- a/src/plantainward/pooling/pooler_connections.cpp
+++ b/src/plantainward/pooling/pooler_connections.cpp
@@ -266,6 +266,10 @@
     auto& what = *who.current;
     what.connection = 0;
     what.excluded.insert(upstream);
+    auto& databases = m_services[what.route.service].upstreams;
+    const auto asked = databases.find(upstream);
+    if (why == sql::refusal::behind && what.after && asked != databases.end())
+        asked->second.was_behind(*what.after, m_now);
     if (why == sql::refusal::malformed || why == sql::refusal::failed)
         return refuse(who, kind_of(why), "the database refused the statement");
     wait(who);
--- a/src/plantainward/pooling/upstream_pool.cpp
+++ b/src/plantainward/pooling/upstream_pool.cpp
@@ -29,6 +29,10 @@
 // Failures in a row after which the database is doubted.
 constexpr std::size_t doubt_failures = 2;
 
+// For how long a database that lacked a log point is taken to lack it still;
+// about the lag of a replica that follows well.
+constexpr core::millis behind_memory{80};
+
 // Weight of one statement in the expected time.
 constexpr double time_weight = 0.1;
 
@@ -165,6 +169,19 @@
     m_known_point = point;
 }
 
+void upstream_pool::was_behind(const upstream::log_point& point,
+                               core::boot_instant now)
+{
+    m_lacked_point = point;
+    m_lacked_at = now;
+}
+
+bool upstream_pool::is_behind(const upstream::log_point& point,
+                              core::boot_instant now) const
+{
+    return now - m_lacked_at < behind_memory && point >= m_lacked_point;
+}
+
 void upstream_pool::took(core::millis time)
 {
     m_expected_ms +=
--- a/src/plantainward/pooling/upstream_pool.hpp
+++ b/src/plantainward/pooling/upstream_pool.hpp
@@ -60,6 +60,12 @@
     const upstream::log_point& known_point() const { return m_known_point; }
     void saw_point(const upstream::log_point& point);
 
+    /// The database lacked this log point.
+    void was_behind(const upstream::log_point& point, core::boot_instant now);
+    /// Whether it has lately lacked this point or an earlier one.
+    bool is_behind(const upstream::log_point& point,
+                   core::boot_instant now) const;
+
     /// Takes how long a statement took.
     void took(core::millis time);
     /// Expected time of one statement, in milliseconds.
@@ -76,6 +82,8 @@
     std::size_t m_failures{0};
     core::boot_instant m_no_open_before{};
     upstream::log_point m_known_point;
+    upstream::log_point m_lacked_point;
+    core::boot_instant m_lacked_at{};
     double m_expected_ms{15};
 };
 
--- a/tests/pooling/pooler_tests.cpp
+++ b/tests/pooling/pooler_tests.cpp
@@ -196,6 +196,23 @@
     STRCMP_EQUAL("p", c.opened.back().where.id.c_str());
 }
 
+TEST(pooler, reads_are_not_tried_at_replicas_that_were_just_behind)
+{
+    // Load: a replica lags by seconds, so every read would ask it in vain.
+    c.pool.add_mark("ledger", {c.now - millis(200), {1, 42}});
+    c.open_session(1, "specs");
+    c.ask(1, statement_kind::read, "READ a");
+    c.fail(c.let_open(), refusal::behind);
+    c.open_session(2, "specs");
+    c.ask(2, statement_kind::read, "READ b");
+    STRCMP_EQUAL("p", c.opened.back().where.id.c_str());
+    c.now += millis(100);
+    c.open_session(3, "specs");
+    c.ask(3, statement_kind::read, "READ c");
+    STRCMP_EQUAL("READ c", c.last_command().text.c_str());
+    CHECK(c.last_command().after == upstream::log_point(1, 42));
+}
+
 TEST(pooler, without_a_lease_nothing_is_sent_to_the_primary)
 {
     c.take(c.pool.set_primary("ledger", "p", c.now, c.now));
