--- a/programs/plantainward_poold/main.cpp
+++ b/programs/plantainward_poold/main.cpp
@@ -4,7 +4,7 @@
 #include <host_settings.hpp>
 
 #include <plantainward/core/last_reason.hpp>
-#include <plantainward/observe/log.hpp>
+#include <plantainward/observe/log_event.hpp>
 
 #include <csignal>
 #include <cstdlib>
@@ -23,8 +23,22 @@
 constexpr int exit_bad_setting = 2;
 constexpr const char* default_settings = "/etc/plantainward/node.json";
 
-int serve(const platform_adapter::host_settings& settings)
+void await_reload(boost::asio::signal_set& signals,
+                  platform_adapter::host_process& host, const std::string& path)
 {
+    signals.async_wait([&](boost::system::error_code error, int) {
+        if (error)
+            return;
+        host.reload(platform_adapter::read_settings(path));
+        await_reload(signals, host, path);
+    });
+}
+
+int serve(const platform_adapter::host_settings& settings,
+          const std::string& path)
+{
+    // One thread serves callers and databases; the readiness server has its
+    // own, so a host that is busy still answers the balancer.
     boost::asio::io_context io(1);
     auto host = platform_adapter::host_process::start(io, settings);
     if (!host)
@@ -38,7 +52,7 @@
             host->drain();
     });
     boost::asio::signal_set reloads(io, SIGHUP);
-    observe::log(observe::log_level::info, "started");
+    await_reload(reloads, *host, path);
     io.run();
     return 0;
 }
@@ -50,7 +64,6 @@
     const char* from_platform = std::getenv("PLANTAINWARD_SETTINGS");
     std::string path =
         from_platform == nullptr ? default_settings : from_platform;
-    std::string level = "info";
     try
     {
         TCLAP::CmdLine line("database proxy with session consistency", ' ',
@@ -58,12 +71,15 @@
         TCLAP::ValueArg<std::string> settings("", "settings",
                                               "settings file of the platform",
                                               false, path, "path", line);
-        TCLAP::ValueArg<std::string> lowest("", "log-level",
-                                            "debug, info, warning or error",
-                                            false, level, "level", line);
+        TCLAP::SwitchArg events("", "events-page",
+                                "print the table of log events", line);
         line.parse(argc, argv);
         path = settings.getValue();
-        level = lowest.getValue();
+        if (events.getValue())
+        {
+            std::cout << observe::log_event_page();
+            return 0;
+        }
     }
     catch (const TCLAP::ArgException& error)
     {
@@ -71,16 +87,11 @@
                   << error.argId() << '\n';
         return exit_bad_setting;
     }
-    const auto lowest = observe::log_level_names.find(level);
     const auto settings = platform_adapter::read_settings(path);
-    if (!lowest || !settings)
+    if (!settings)
     {
-        std::cerr << "plantainward_poold: "
-                  << (lowest ? core::last_reason().text
-                             : "--log-level: unknown level " + level)
-                  << '\n';
+        std::cerr << "plantainward_poold: " << core::last_reason().text << '\n';
         return exit_bad_setting;
     }
-    observe::start_logging(*lowest, observe::log_format::json, settings->name);
-    return serve(*settings);
+    return serve(*settings, path);
 }
--- a/src/plantainward/entry/entry_host.cpp
+++ b/src/plantainward/entry/entry_host.cpp
@@ -21,7 +21,7 @@
 constexpr core::millis record_read_interval{500};
 
 // Between reads of the records while one is claimed or does not exist yet.
-constexpr core::millis unsettled_read_interval{1500};
+constexpr core::millis unsettled_read_interval{3000};
 
 // A feed delivers within this time; a peer that knows more after it shows that
 // the feed of this host fails.
@@ -62,11 +62,11 @@
     m_on_belief = std::move(on_belief);
 }
 
-void entry_host::tell(std::string_view what, const std::string& service,
+void entry_host::tell(observe::log_event event, const std::string& service,
                       std::string detail) const
 {
     if (m_on_belief)
-        m_on_belief({what, service, std::move(detail)});
+        m_on_belief({event, service, std::move(detail)});
 }
 
 succession::succession& entry_host::succession_of(const std::string& service)
@@ -82,7 +82,8 @@
     const auto version = routing.version;
     if (!m_pooler.set_routing(std::move(routing), now))
         return out;
-    tell("routing_in_force", {}, "version " + std::to_string(version));
+    tell(observe::log_event::routing_in_force, {},
+         "version " + std::to_string(version));
     for (const auto& [name, limits] : m_pooler.routing().services)
     {
         succession_of(name);
@@ -122,7 +123,7 @@
     entry_actions out;
     m_upstreams_version = std::max(m_upstreams_version, version);
     m_directory.remove(id, now);
-    tell("upstream_unregistered", {}, id);
+    tell(observe::log_event::upstream_unregistered, {}, id);
     update_upstreams(now, out);
     return out;
 }
@@ -135,7 +136,7 @@
     for (const auto& one : usable)
         if (std::find(m_upstreams.begin(), m_upstreams.end(), one) ==
             m_upstreams.end())
-            tell("upstream_known", one.service,
+            tell(observe::log_event::upstream_known, one.service,
                  one.id + " at " + core::to_string(one.address) +
                      (one.leaving ? ", leaving" : "") +
                      (one.claims_primary ? ", primary" : ""));
@@ -151,7 +152,7 @@
     auto& one = succession_of(service);
     if (!one.take(record, now))
         return false;
-    tell("primary_record", service,
+    tell(observe::log_event::primary_record, service,
          std::string(succession::phase_names[record.phase]) + " " +
              record.primary + " by " + record.writer + ", version " +
              std::to_string(record.version));
@@ -202,7 +203,8 @@
     const auto got = fleet::decode_heartbeat(bytes);
     if (!got)
     {
-        tell("heartbeat_refused", {}, core::last_reason().text);
+        tell(observe::log_event::heartbeat_refused, {},
+             core::last_reason().text);
         return out;
     }
     if (!m_fleet.take(*got, now))
@@ -266,7 +268,7 @@
 {
     entry_actions out;
     auto& one = succession_of(service);
-    tell("record_write", service,
+    tell(observe::log_event::record_write, service,
          end == succession::write_end::written
              ? "written, version " + std::to_string(version)
              : (end == succession::write_end::conflict ? "conflict"
@@ -306,7 +308,7 @@
                                       core::boot_instant now)
 {
     entry_actions out;
-    tell("promotion", service,
+    tell(observe::log_event::promotion, service,
          end == succession::promote_end::accepted
              ? "accepted"
              : (end == succession::promote_end::rejected ? "rejected"
@@ -443,7 +445,7 @@
         const bool was_running = one.running().has_value();
         const auto wanted = one.tick(view, now);
         if (!was_running && one.running())
-            tell("claim_started", service,
+            tell(observe::log_event::claim_started, service,
                  std::string(succession::cause_names[one.running()->cause()]) +
                      ", primary " + record.primary + ", version " +
                      std::to_string(record.version));
@@ -484,7 +486,7 @@
     if (lost.empty() || rank_for(lost.front(), now) != 0)
         return;
     m_last_removal = now;
-    tell("member_removed", {}, lost.front());
+    tell(observe::log_event::member_removed, {}, lost.front());
     out.control.emplace_back(remove_member_action{lost.front()});
 }
 
@@ -529,7 +531,8 @@
     if (!lacks_proof)
     {
         if (m_isolated_since)
-            tell("isolation_over", {}, "leases are proved again");
+            tell(observe::log_event::isolation_over, {},
+                 "leases are proved again");
         m_isolated_since.reset();
         m_pooler.set_isolated(false);
         return;
@@ -537,7 +540,8 @@
     if (!m_isolated_since)
     {
         m_isolated_since = now;
-        tell("isolated", {}, "no quorum and no table service for a lease");
+        tell(observe::log_event::isolated, {},
+             "no quorum and no table service for a lease");
     }
     m_pooler.set_isolated(now - *m_isolated_since > isolation_patience);
 }
--- a/src/plantainward/entry/entry_host.hpp
+++ b/src/plantainward/entry/entry_host.hpp
@@ -2,6 +2,7 @@
 
 #include <plantainward/entry/upstream_directory.hpp>
 #include <plantainward/fleet/fleet_view.hpp>
+#include <plantainward/observe/log_event.hpp>
 #include <plantainward/pooling/pooler.hpp>
 #include <plantainward/succession/succession.hpp>
 
@@ -86,7 +87,7 @@
 /// A change of what the host believes, for logs.
 struct belief
 {
-    std::string_view what;
+    observe::log_event event{observe::log_event::upstream_known};
     std::string service;
     std::string detail;
 };
@@ -187,7 +188,7 @@
     void watch_isolation(core::boot_instant now);
     std::size_t rank_for(const std::string& service,
                          core::boot_instant now) const;
-    void tell(std::string_view what, const std::string& service,
+    void tell(observe::log_event event, const std::string& service,
               std::string detail) const;
 
     entry_identity m_identity;
--- /dev/null
+++ b/src/plantainward/observe/event_log.cpp
@@ -0,0 +1,111 @@
+#include <plantainward/observe/event_log.hpp>
+
+#include <poll.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <utility>
+
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace plantainward::observe
+{
+
+namespace
+{
+
+// A pipe that polls writable takes this much without blocking (PIPE_BUF).
+constexpr std::size_t longest_line = 4096;
+
+constexpr core::millis budget_window{1000};
+
+std::int64_t wall_clock_ms()
+{
+    return std::chrono::duration_cast<core::millis>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+} // namespace
+
+bool line_budget::take(log_event event, core::instant now)
+{
+    auto& one = m_windows.at(static_cast<std::size_t>(event));
+    if (now - one.since >= budget_window)
+    {
+        one.since = now;
+        one.written = 0;
+    }
+    if (one.written >= row_of(event).budget_per_s)
+    {
+        ++one.suppressed;
+        return false;
+    }
+    ++one.written;
+    return true;
+}
+
+std::vector<std::pair<log_event, std::uint64_t>> line_budget::take_suppressed()
+{
+    std::vector<std::pair<log_event, std::uint64_t>> found;
+    for (const auto& row : log_event_table())
+    {
+        auto& one = m_windows.at(static_cast<std::size_t>(row.event));
+        if (const auto count = std::exchange(one.suppressed, 0); count > 0)
+            found.emplace_back(row.event, count);
+    }
+    return found;
+}
+
+bool write_without_blocking(const std::string& line)
+{
+    if (line.size() > longest_line)
+        return false;
+    pollfd out{STDOUT_FILENO, POLLOUT, 0};
+    if (::poll(&out, 1, 0) != 1 || (out.revents & POLLOUT) == 0)
+        return false;
+    return ::write(STDOUT_FILENO, line.data(), line.size()) ==
+           static_cast<ssize_t>(line.size());
+}
+
+event_log::event_log(std::string host, writer write)
+    : m_host(std::move(host)), m_write(std::move(write))
+{
+}
+
+void event_log::write(log_event event, const std::vector<log_field>& fields)
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_budget.take(event, core::steady::now()))
+        put(event, fields);
+}
+
+void event_log::put(log_event event, const std::vector<log_field>& fields)
+{
+    boost::json::object line{{"at_ms", wall_clock_ms()},
+                             {"host", m_host},
+                             {"event", row_of(event).name}};
+    for (const auto& [name, value] : fields)
+        if (!value.empty())
+            line[name] = value;
+    if (!m_write(boost::json::serialize(line) + "\n"))
+        ++m_dropped;
+}
+
+void event_log::flush()
+{
+    const std::lock_guard lock(m_mutex);
+    for (const auto& [event, count] : m_budget.take_suppressed())
+        put(log_event::lines_suppressed,
+            {{"of", std::string(row_of(event).name)},
+             {"lines", std::to_string(count)}});
+    if (m_dropped == 0)
+        return;
+    const auto dropped = std::exchange(m_dropped, 0);
+    put(log_event::lines_suppressed, {{"of", "all"},
+                                      {"lines", std::to_string(dropped)},
+                                      {"reason", "standard output was full"}});
+}
+
+} // namespace plantainward::observe
--- a/src/plantainward/pooling/pooler.cpp
+++ b/src/plantainward/pooling/pooler.cpp
@@ -36,17 +36,29 @@
     m_on_statement = std::move(on_statement);
 }
 
-void pooler::note(std::string_view what, const session& who,
+void pooler::note(decision_kind kind, const session& who,
                   const std::string& upstream, std::string detail)
 {
-    if (!m_on_decision)
+    if (!m_on_decision || !who.current)
         return;
-    decision made{what, {}, {}, upstream, std::move(detail)};
-    if (who.current)
-    {
-        made.request = who.current->statement.id;
-        made.service = who.current->route.service;
-    }
+    const auto in_ms = [](auto time) {
+        return std::chrono::duration_cast<core::millis>(time);
+    };
+    const auto& what = *who.current;
+    decision made;
+    made.kind = kind;
+    made.request = what.statement.id;
+    made.service = what.route.service;
+    made.upstream = upstream;
+    made.detail = std::move(detail);
+    made.attempt = what.attempts;
+    made.waited = in_ms(m_now - what.received);
+    made.routing_version = m_routing.version;
+    const auto& service = m_services[what.route.service];
+    if (service.has_primary(m_now))
+        made.lease_left = in_ms(service.primary_until - m_now);
+    if (const auto mark = service.marks.newest())
+        made.mark_age = in_ms(m_now - mark->since);
     m_on_decision(made);
 }
 
@@ -352,7 +364,8 @@
 void pooler::refuse(session& who, core::error_kind kind,
                     const std::string& text)
 {
-    note("refused", who, {}, std::string(core::name_of(kind)) + ": " + text);
+    note(decision_kind::refused, who, {},
+         std::string(core::name_of(kind)) + ": " + text);
     if (who.transaction && !ends_transaction(*who.current))
         fail_transaction(who, true);
     finish(who, answer_error(who, kind, text));
@@ -372,6 +385,7 @@
     who.current->connection = 0;
     if (std::find(m_queue.begin(), m_queue.end(), who.id) != m_queue.end())
         return;
+    note(decision_kind::queued, who, {}, {});
     const auto before = [&](session_id a, session_id b) {
         const auto& first = *m_sessions.at(a).current;
         const auto& second = *m_sessions.at(b).current;
@@ -410,6 +424,9 @@
     ++what.attempts;
     what.after = chosen->after;
     what.at_primary = service.is_primary(chosen->upstream, m_now);
+    note(decision_kind::placed, who, chosen->upstream,
+         chosen->after ? "after " + upstream::to_string(*chosen->after)
+                       : std::string());
     auto& pool = service.upstreams.at(chosen->upstream);
     auto* one = pool.idle_connection(who.values);
     if (one == nullptr)
@@ -449,7 +466,8 @@
         }
         const auto* one = find(used);
         const bool sent = one->stage == connection_stage::running;
-        note("timed_out", who, one->upstream, sent ? "sent" : "not sent");
+        note(decision_kind::timed_out, who, one->upstream,
+             sent ? "sent" : "not sent");
         who.current->connection = 0;
         if (who.transaction)
             who.transaction->connection = 0;
--- a/src/plantainward/pooling/pooler.hpp
+++ b/src/plantainward/pooling/pooler.hpp
@@ -18,14 +18,34 @@
 namespace plantainward::pooling
 {
 
-/// A decision about one request, for logs and metrics.
+/// Kinds of decisions about one request.
+enum class decision_kind : std::uint8_t
+{
+    placed,
+    queued,
+    retried,
+    lost,
+    timed_out,
+    refused
+};
+
+/// A decision about one request with the inputs that decided it.
 struct decision
 {
-    std::string_view what;
-    std::string request;
-    std::string service;
-    std::string upstream;
+    decision_kind kind{decision_kind::placed};
+    /// Id that the caller gave the request.
+    std::string_view request;
+    std::string_view service;
+    std::string_view upstream;
     std::string detail;
+    std::size_t attempt{0};
+    /// Time since the statement came.
+    core::millis waited{0};
+    /// What is left of the right to use the primary; negative: none.
+    core::millis lease_left{-1};
+    /// Age of the newest mark; negative: there is none.
+    core::millis mark_age{-1};
+    std::uint64_t routing_version{0};
 };
 
 /// Receives decisions; must not block.
@@ -161,7 +181,7 @@
     void drop_silent();
     void probe_silent();
     void share_connections();
-    void note(std::string_view what, const session& who,
+    void note(decision_kind kind, const session& who,
               const std::string& upstream, std::string detail);
     actions take() { return std::exchange(m_out, {}); }
 
--- a/src/plantainward/pooling/pooler_connections.cpp
+++ b/src/plantainward/pooling/pooler_connections.cpp
@@ -246,7 +246,7 @@
     auto& what = *who.current;
     const bool sent = stage == connection_stage::running;
     const bool is_pinned = who.transaction && !what.begins;
-    note("connection_lost", who, {},
+    note(decision_kind::lost, who, {},
          std::string(connection_stage_names[stage]));
     what.connection = 0;
     if (who.transaction)
@@ -388,7 +388,7 @@
         return send_main(one, who);
     }
     const auto why = *one.setup_error;
-    note("setup_refused", who, one.upstream, last.text);
+    note(decision_kind::retried, who, one.upstream, last.text);
     const auto upstream = one.upstream;
     who.current->connection = 0;
     one.user = 0;
@@ -447,7 +447,7 @@
     auto& what = *who.current;
     const auto why = *answer.error;
     const auto upstream = one.upstream;
-    note("statement_refused", who, upstream, answer.text);
+    note(decision_kind::retried, who, upstream, answer.text);
     const bool may_move = !who.transaction || what.begins;
     if (sql::is_not_run(why) && may_move)
     {
