--- a/src/plantainward/pooling/placement.cpp
+++ b/src/plantainward/pooling/placement.cpp
@@ -80,7 +80,7 @@
                                const std::string& own_domain,
                                core::boot_instant now)
 {
-    const auto at_primary = place_at_primary(service, what, now);
+    auto at_primary = place_at_primary(service, what, now);
     if (what.needs_primary)
         return at_primary;
     const auto point = required_point(service, what, who);
--- a/standins/line_database/line_database.cpp
+++ b/standins/line_database/line_database.cpp
@@ -109,7 +109,7 @@
 }
 
 std::string line_database::run(connection& one, const std::string& id,
-                               std::string text)
+                               const std::string& text)
 {
     const bool is_primary = m_group->primary == m_id;
     auto rest = text;
--- a/standins/line_database/line_database.hpp
+++ b/standins/line_database/line_database.hpp
@@ -51,7 +51,8 @@
     void accept();
     void read(const std::shared_ptr<connection>& one);
     std::string answer(connection& one, const std::string& line);
-    std::string run(connection& one, const std::string& id, std::string text);
+    std::string run(connection& one, const std::string& id,
+                    const std::string& text);
     std::string run_write(connection& one, const std::string& rest);
     std::string ready(const connection& one) const;
 
--- a/standins/row_store/row_store.cpp
+++ b/standins/row_store/row_store.cpp
@@ -140,7 +140,7 @@
         return respond(answer(429));
     const auto query = query_of(message.target);
     const auto answering = m_fault == store_fault::lost_answers
-                               ? http::responder([](http::response) {})
+                               ? http::responder([](const http::response&) {})
                                : respond;
     if (message.target == "/promotion")
     {
--- a/tests/platform_adapter/line_codec_tests.cpp
+++ b/tests/platform_adapter/line_codec_tests.cpp
@@ -213,7 +213,7 @@
     STRCMP_EQUAL("abc def", got.rows.front().c_str());
     STRCMP_EQUAL("7.1f3", got.signature.c_str());
     CHECK(got.state == sql::transaction_state::open);
-    CHECK(got.position == upstream::log_point(3, 1209));
+    CHECK((got.position == upstream::log_point{3, 1209}));
 }
 
 TEST(upstream_lines, every_refusal_is_told_apart)
--- a/tests/platform_adapter/store_client_tests.cpp
+++ b/tests/platform_adapter/store_client_tests.cpp
@@ -58,14 +58,14 @@
 
     store_answer write(const std::string& value, std::uint64_t expected)
     {
-        return run([&](store_handler handler) {
+        return run([&](const store_handler& handler) {
             client->write({"t", "k", value, expected, false}, timeout, handler);
         });
     }
 
     store_answer read()
     {
-        return run([&](store_handler handler) {
+        return run([&](const store_handler& handler) {
             client->read_table("t", timeout, handler);
         });
     }
@@ -100,13 +100,13 @@
     const auto before = read().version;
     store->put("t", "k", "2");
     store->remove("t", "gone");
-    const auto got = run([&](store_handler handler) {
+    const auto got = run([&](const store_handler& handler) {
         client->follow("t", before, millis(200), handler);
     });
     CHECK(got.end == store_end::done);
     LONGS_EQUAL(2, got.rows.size());
     CHECK(got.rows[0].removed != got.rows[1].removed);
-    const auto quiet = run([&](store_handler handler) {
+    const auto quiet = run([&](const store_handler& handler) {
         client->follow("t", got.version, millis(50), handler);
     });
     CHECK(quiet.end == store_end::done);
@@ -132,7 +132,7 @@
     {
         store->set_fault(one.fault);
         CHECK(write("b", 0).end == one.of_write);
-        const auto feed = run([&](store_handler handler) {
+        const auto feed = run([&](const store_handler& handler) {
             client->follow("t", 0, millis(50), handler);
         });
         CHECK(feed.end == one.of_feed);
--- a/tests/pooling/pooler_tests.cpp
+++ b/tests/pooling/pooler_tests.cpp
@@ -164,7 +164,7 @@
     c.ask(1, statement_kind::read, "READ a");
     STRCMP_EQUAL("r", c.opened.back().where.id.c_str());
     c.let_open();
-    CHECK(c.last_command().after == upstream::log_point(1, 42));
+    CHECK((c.last_command().after == upstream::log_point{1, 42}));
 }
 
 TEST(pooler, a_mark_that_is_too_old_proves_nothing)
@@ -184,7 +184,7 @@
     c.ask(1, statement_kind::read, "READ a");
     c.let_open();
     STRCMP_EQUAL("r", c.opened.back().where.id.c_str());
-    CHECK(c.last_command().after == upstream::log_point(1, 50));
+    CHECK((c.last_command().after == upstream::log_point{1, 50}));
 }
 
 TEST(pooler, a_replica_that_is_behind_is_left_for_the_primary)
@@ -210,7 +210,7 @@
     c.open_session(3, "specs");
     c.ask(3, statement_kind::read, "READ c");
     STRCMP_EQUAL("READ c", c.last_command().text.c_str());
-    CHECK(c.last_command().after == upstream::log_point(1, 42));
+    CHECK((c.last_command().after == upstream::log_point{1, 42}));
 }
 
 TEST(pooler, without_a_lease_nothing_is_sent_to_the_primary)
