--- a/src/plantainward/http/client.cpp
+++ b/src/plantainward/http/client.cpp
@@ -148,8 +148,13 @@
         finish(std::move(result));
     }
 
+    // A request that was given up must not arrive later: what a broken path
+    // still holds of it is discarded with a reset.
     void finish_failed(error_code error, bool may_have_arrived)
     {
+        error_code ignored;
+        m_stream.socket().set_option(asio::socket_base::linger(true, 0),
+                                     ignored);
         shut();
         if (error == beast::error::timeout)
             return finish({exchange_end::timed_out, 0, {}});
