Lost hosts lose their registration; large files split by job

Cause: the removal of a silent member's row named no version, so the store refused it each time and a quorum went on counting hosts that are gone.

--- /dev/null
+++ b/src/plantainward/entry/entry_host_fleet.cpp
@@ -0,0 +1,250 @@
+// What a host tells other hosts, takes from them, and proves with them.
+
+#include <plantainward/entry/entry_host.hpp>
+
+#include <plantainward/core/digest.hpp>
+#include <plantainward/core/last_reason.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace plantainward::entry
+{
+
+namespace
+{
+
+// A lease that would run out within this time is renewed from the table
+// service, since the fleet's quorum has not renewed it.
+constexpr core::millis renew_ahead{500};
+
+// Between reads of the records while the quorum fails.
+constexpr core::millis record_read_interval{500};
+
+// Between reads of the records while one is claimed or does not exist yet.
+constexpr core::millis unsettled_read_interval{3000};
+
+// A feed delivers within this time; a peer that knows more after it shows that
+// the feed of this host fails.
+constexpr core::millis feed_patience{500};
+
+// Between reads of tables because of a peer's newer version.
+constexpr core::millis table_read_interval{500};
+
+// Between removals of lost members, so that news of one arrives first.
+constexpr core::millis removal_interval{1000};
+
+// A lease that is proved late by this much is no isolation; a few heartbeats.
+constexpr core::millis isolation_patience{400};
+
+// Age up to which marks and proofs are told to peers, in milliseconds; above
+// the largest age that routes state.
+constexpr std::int64_t largest_told_age_ms = 3000;
+
+/// Age for a heartbeat, rounded up; negative when it is too old to be of use.
+std::int16_t age_in_ms(core::boot_instant now, core::boot_instant since)
+{
+    const auto age = core::to_ms(now - since) + 1;
+    return age > largest_told_age_ms ? std::int16_t{-1}
+                                     : static_cast<std::int16_t>(age);
+}
+
+} // namespace
+
+// The feeds bring changes first; a peer that knows more after some time shows
+// that a feed of this host has gone silent.
+void entry_host::read_what_peers_know(const fleet::heartbeat& got,
+                                      core::boot_instant now,
+                                      entry_actions& out)
+{
+    const bool routing_behind =
+        got.routing_version > m_pooler.routing().version;
+    const bool upstreams_behind = got.upstreams_version > m_upstreams_version;
+    if (!routing_behind && !upstreams_behind)
+    {
+        m_behind_since.reset();
+        return;
+    }
+    if (!m_behind_since)
+        m_behind_since = now;
+    if (now - *m_behind_since < feed_patience ||
+        now - m_last_table_read < table_read_interval)
+        return;
+    m_last_table_read = now;
+    if (routing_behind)
+        out.control.emplace_back(read_routing_action{});
+    if (!upstreams_behind)
+        return;
+    m_wanted_upstreams = got.upstreams_version;
+    out.control.emplace_back(read_upstreams_action{});
+}
+
+fleet::service_news entry_host::news_of(const std::string& service,
+                                        core::boot_instant now) const
+{
+    fleet::service_news made;
+    const auto& record = m_successions.at(service).lease().record();
+    made.record_version = record.version;
+    made.doubts_primary = m_pooler.is_doubted(service, record.primary, now);
+    if (const auto proved = m_successions.at(service).lease().proved_at())
+        made.proof_age_ms = age_in_ms(now, *proved);
+    const auto mark = m_pooler.newest_mark(service);
+    if (!mark)
+        return made;
+    made.mark = mark->point;
+    made.mark_age_ms = age_in_ms(now, mark->since);
+    return made;
+}
+
+void entry_host::send_heartbeats(core::boot_instant now, entry_actions& out)
+{
+    m_last_round = now;
+    m_fleet.start_round(now);
+    std::map<std::string, fleet::service_news> services;
+    for (const auto& [service, one] : m_successions)
+        services.emplace(service, news_of(service, now));
+    for (const auto& name : m_fleet.targets(now))
+    {
+        const auto& peer = m_fleet.peers().at(name);
+        auto made = m_fleet.make_for(name);
+        made.knows_records = m_knows_records;
+        made.routing_version = m_pooler.routing().version;
+        made.upstreams_version = m_upstreams_version;
+        for (const auto& [service, news] : services)
+        {
+            auto& told = made.services[fleet::key_of(service)];
+            told = news;
+            if (m_fleet.version_known_by(name, service) < news.record_version)
+                told.record = m_successions.at(service).lease().record();
+        }
+        out.control.emplace_back(
+            heartbeat_action{peer.address, fleet::encode(made)});
+    }
+}
+
+entry_actions entry_host::on_heartbeat(std::string_view bytes,
+                                       core::boot_instant now)
+{
+    entry_actions out;
+    const auto got = fleet::decode_heartbeat(bytes);
+    if (!got)
+    {
+        tell(observe::log_event::heartbeat_refused, {},
+             core::last_reason().text);
+        return out;
+    }
+    if (!m_fleet.take(*got, now))
+        return out;
+    const auto& peer = m_fleet.peers().at(got->host);
+    bool changed = false;
+    for (const auto& [key, news] : got->services)
+    {
+        const auto known = m_service_keys.find(key);
+        if (known == m_service_keys.end())
+            continue;
+        const auto& service = known->second;
+        if (news.record)
+            changed = take_record(service, *news.record, now, out) || changed;
+        const bool has_mark =
+            news.mark_age_ms >= 0 && peer.confirmed_at != core::boot_instant{};
+        if (has_mark)
+            m_pooler.add_mark(
+                service, {peer.confirmed_at - core::millis(news.mark_age_ms),
+                          news.mark});
+    }
+    read_what_peers_know(*got, now, out);
+    if (changed)
+        send_heartbeats(now, out);
+    return out;
+}
+
+std::size_t entry_host::rank_for(const std::string& service,
+                                 core::boot_instant now) const
+{
+    const auto weight = [&](const std::string& name) {
+        return core::placement_hash(service, name);
+    };
+    const auto own = weight(m_identity.name);
+    std::size_t rank = 0;
+    for (const auto& name : m_fleet.live(now))
+        rank += weight(name) > own ? 1 : 0;
+    return rank;
+}
+
+void entry_host::renew_leases(core::boot_instant now, entry_actions& out)
+{
+    bool runs_out = !m_knows_records;
+    for (auto& [service, one] : m_successions)
+    {
+        const auto version = one.lease().record().version;
+        if (m_knows_records)
+            if (const auto at = m_fleet.proof_instant(service, version, now))
+                one.prove(version, *at);
+        update_primary(one, now, out);
+        const auto until = one.lease().valid_until();
+        const bool settled =
+            one.lease().record().phase == succession::leadership_phase::settled;
+        // News of a claim comes from its writer first.
+        const bool is_late =
+            settled ? !until || *until - now < renew_ahead
+                    : now - m_last_record_read > unsettled_read_interval;
+        runs_out = runs_out || is_late;
+    }
+    if (!runs_out || now - m_last_record_read < record_read_interval)
+        return;
+    m_last_record_read = now;
+    out.control.emplace_back(read_records_action{});
+}
+
+void entry_host::remove_lost_members(core::boot_instant now, entry_actions& out)
+{
+    if (now - m_last_removal < removal_interval || !m_knows_records)
+        return;
+    const auto lost = m_fleet.lost(now);
+    if (lost.empty() || rank_for(lost.front(), now) != 0)
+        return;
+    m_last_removal = now;
+    tell(observe::log_event::member_removed, {}, lost.front());
+    out.control.emplace_back(remove_member_action{lost.front()});
+}
+
+std::size_t entry_host::doubted_services(core::boot_instant now) const
+{
+    return static_cast<std::size_t>(std::count_if(
+        m_successions.begin(), m_successions.end(), [&](const auto& one) {
+            return m_pooler.is_doubted(
+                one.first, one.second.lease().record().primary, now);
+        }));
+}
+
+// A host that can't prove a settled record has lost both the fleet and the
+// table service; nothing that needs a primary can be served here.
+void entry_host::watch_isolation(core::boot_instant now)
+{
+    const bool lacks_proof = std::any_of(
+        m_successions.begin(), m_successions.end(), [&](const auto& one) {
+            const auto& lease = one.second.lease();
+            const auto until = lease.valid_until();
+            return lease.record().phase ==
+                       succession::leadership_phase::settled &&
+                   (!until || *until <= now);
+        });
+    if (!lacks_proof)
+    {
+        if (m_isolated_since)
+            tell(observe::log_event::isolation_over, {},
+                 "leases are proved again");
+        m_isolated_since.reset();
+        m_pooler.set_isolated(false);
+        return;
+    }
+    if (!m_isolated_since)
+    {
+        m_isolated_since = now;
+        tell(observe::log_event::isolated, {},
+             "no quorum and no table service for a lease");
+    }
+    m_pooler.set_isolated(now - *m_isolated_since > isolation_patience);
+}
+
+} // namespace plantainward::entry
--- a/src/plantainward/pooling/pooler_connections.cpp
+++ b/src/plantainward/pooling/pooler_connections.cpp
@@ -1,3 +1,4 @@
+#include <plantainward/pooling/commands.hpp>
 #include <plantainward/pooling/pooler.hpp>
 #include <plantainward/pooling/session_rules.hpp>
 
@@ -9,100 +10,9 @@
 namespace
 {
 
-using sql::command;
-using sql::command_kind;
-using sql::statement_kind;
-
 // Time for the answer to a command that occupies no slot at a database.
 constexpr core::millis own_answer_patience{1000};
 
-command own_command(command_kind kind)
-{
-    command made;
-    made.kind = kind;
-    return made;
-}
-
-/// Brings the connection's values to those of the session.
-void add_values(connection& one, const session_values& wanted,
-                std::vector<command>& out)
-{
-    const bool has_foreign = std::any_of(
-        one.values.begin(), one.values.end(),
-        [&](const auto& held) { return !wanted.contains(held.first); });
-    if (has_foreign)
-    {
-        out.push_back(own_command(command_kind::reset));
-        one.values.clear();
-        one.prepared.clear();
-    }
-    for (const auto& [name, value] : wanted)
-    {
-        const auto held = one.values.find(name);
-        if (held != one.values.end() && held->second == value)
-            continue;
-        auto made = own_command(command_kind::set_value);
-        made.name = name;
-        made.value = value;
-        out.push_back(std::move(made));
-        one.values[name] = value;
-    }
-}
-
-void add_prepared(connection& one, const session& who,
-                  std::vector<command>& out)
-{
-    const auto& statement = who.current->statement;
-    if (statement.kind != statement_kind::execute)
-        return;
-    const auto& known = who.prepared.at(statement.name);
-    auto made = own_command(command_kind::prepare);
-    made.name = shared_name(known);
-    if (!one.prepared.insert(made.name).second)
-        return;
-    made.value = known.shape;
-    made.writes = known.writes;
-    out.push_back(std::move(made));
-}
-
-command main_command(const session& who)
-{
-    const auto& statement = who.current->statement;
-    command made;
-    made.id = statement.id;
-    if (!who.transaction)
-        made.after = who.current->after;
-    if (statement.kind != statement_kind::execute)
-    {
-        made.text = statement.text;
-        return made;
-    }
-    made.kind = command_kind::execute;
-    made.name = shared_name(who.prepared.at(statement.name));
-    made.value = statement.value;
-    return made;
-}
-
-core::error_kind kind_of(sql::refusal why)
-{
-    switch (why)
-    {
-    case sql::refusal::behind:
-        return core::error_kind::too_stale;
-    case sql::refusal::read_only:
-        return core::error_kind::transaction_lost;
-    case sql::refusal::failed:
-        return core::error_kind::statement_failed;
-    case sql::refusal::malformed:
-        return core::error_kind::bad_request;
-    case sql::refusal::timed_out:
-    case sql::refusal::other:
-        return core::error_kind::outcome_unknown;
-    default:
-        return core::error_kind::overloaded;
-    }
-}
-
 } // namespace
 
 connection* pooler::find(connection_id id)
@@ -147,14 +57,14 @@
 
 void pooler::set_up(connection& one, session& who)
 {
-    std::vector<command> commands;
+    std::vector<sql::command> commands;
     add_values(one, who.values, commands);
     add_prepared(one, who, commands);
     if (who.current->begins)
     {
         auto made = own_command(who.transaction->read_only
-                                    ? command_kind::begin_read_only
-                                    : command_kind::begin);
+                                    ? sql::command_kind::begin_read_only
+                                    : sql::command_kind::begin);
         made.after = who.current->after;
         commands.push_back(std::move(made));
     }
@@ -213,7 +123,7 @@
     one.unanswered = 1;
     one.sent_at = m_now;
     m_out.emplace_back(
-        send_action{one.id, {own_command(command_kind::rollback)}});
+        send_action{one.id, {own_command(sql::command_kind::rollback)}});
 }
 
 void pooler::drop(connection_id id)
@@ -509,7 +419,7 @@
             one->unanswered = 1;
             one->sent_at = m_now;
             m_out.emplace_back(
-                send_action{one->id, {own_command(command_kind::reset)}});
+                send_action{one->id, {own_command(sql::command_kind::reset)}});
         }
     }
 }
--- a/standins/row_store/row_store.cpp
+++ b/standins/row_store/row_store.cpp
@@ -108,6 +108,13 @@
     return m_calls;
 }
 
+bool row_store::has(const std::string& table, const std::string& key) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_rows.find({table, key});
+    return found != m_rows.end() && !found->second.removed;
+}
+
 void row_store::put(const std::string& table, const std::string& key,
                     const std::string& text)
 {
--- a/standins/row_store/row_store.hpp
+++ b/standins/row_store/row_store.hpp
@@ -52,6 +52,8 @@
              const std::string& text);
     void remove(const std::string& table, const std::string& key);
 
+    bool has(const std::string& table, const std::string& key) const;
+
     /// Calls that were answered or lost.
     std::size_t calls() const;
 
--- a/tests/pool_processes/pool_process_tests.cpp
+++ b/tests/pool_processes/pool_process_tests.cpp
@@ -205,6 +205,14 @@
     CHECK(written);
     CHECK(fleet.group->primary != "db-0");
 
+    // A host that is gone for good loses its registration.
+    fleet.processes[1].kill();
+    CHECK(fleet.store->has("plantainward_hosts", "host-1"));
+    for (int i = 0; i < 200 && fleet.store->has("plantainward_hosts", "host-1");
+         ++i)
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    CHECK_FALSE(fleet.store->has("plantainward_hosts", "host-1"));
+
     // A stopped host ends by itself with code 0.
     fleet.processes[2].send(SIGTERM);
     LONGS_EQUAL(0, fleet.processes[2].wait());
