--- a/src/plantainward/peer/internal/archive.hpp
+++ b/src/plantainward/core/archive.hpp
@@ -10,7 +10,7 @@
 
 #include <cereal/archives/portable_binary.hpp>
 
-namespace plantainward::peer::internal
+namespace plantainward::core
 {
 
 /// The cereal form of a value.
@@ -25,9 +25,10 @@
     return out.str();
 }
 
-/// The value in its cereal form; empty optional when malformed.
+/// The value in its cereal form; empty optional with a reason that names what
+/// was expected when malformed.
 template <class T>
-std::optional<T> from_bytes(std::string_view bytes)
+std::optional<T> from_bytes(std::string_view bytes, const char* what)
 {
     try
     {
@@ -37,11 +38,11 @@
         archive(value);
         return value;
     }
-    catch (const std::exception&)
+    catch (const std::exception& error)
     {
         return core::fail(core::error_kind::bad_request,
-                          "malformed message of a peer");
+                          std::string("not a ") + what + ": " + error.what());
     }
 }
 
-} // namespace plantainward::peer::internal
+} // namespace plantainward::core
--- a/src/plantainward/entry/entry_host.cpp
+++ b/src/plantainward/entry/entry_host.cpp
@@ -46,6 +46,7 @@
         succession_of(name);
         m_service_keys[fleet::key_of(name)] = name;
     }
+    plan_connections();
     update_upstreams(now, out);
     return out;
 }
@@ -146,12 +147,48 @@
     return out;
 }
 
-void entry_host::on_members(const std::map<std::string, core::address>& members,
+void entry_host::on_members(const fleet::members& members,
+                            std::optional<core::boot_instant> read_at,
                             core::boot_instant now)
 {
+    m_members = members;
+    if (read_at)
+        m_members_read_at = std::max(m_members_read_at, *read_at);
     m_fleet.set_members(members, now);
-    m_pooler.set_hosts(m_fleet.member_count());
+    plan_connections();
 }
+
+std::optional<core::address>
+entry_host::address_of(const std::string& host) const
+{
+    const auto found = m_members.find(host);
+    if (found == m_members.end())
+        return std::nullopt;
+    return found->second.address;
+}
+
+void entry_host::plan_connections()
+{
+    for (const auto& [service, limits] : m_pooler.routing().services)
+    {
+        auto& holders = m_holders[service];
+        holders = fleet::divide_connections(service, limits.max_connections,
+                                            m_members, m_fleet.voters(),
+                                            m_plan_options);
+        m_pooler.set_plan(
+            service,
+            {holders.share_of(m_identity.name),
+             holders.helpers_of(m_identity.name, m_identity.failure_domain)});
+    }
+}
+
+bool entry_host::watches(const std::string& service) const
+{
+    const auto found = m_holders.find(service);
+    return found == m_holders.end() ||
+           found->second.share_of(m_identity.name) > 0;
+}
+
 entry_actions entry_host::on_record_written(const std::string& service,
                                             succession::write_end end,
                                             std::uint64_t version,
@@ -171,6 +208,9 @@
         one.prove(version, sent);
         update_primary(one, now, out);
         send_heartbeats(now, out);
+        // A host that this one has not heard of may hold a lease.
+        if (one.running())
+            out.control.emplace_back(read_members_action{});
     }
     else
     {
@@ -255,28 +295,36 @@
 
 void entry_host::run_claims(core::boot_instant now, entry_actions& out)
 {
-    if (!m_knows_records || !m_claims || !m_fleet.is_voter())
+    if (!m_knows_records || !m_fleet.is_voter())
         return;
     const auto live = m_fleet.live(now);
     for (auto& [service, one] : m_successions)
     {
+        if (!m_claims && !one.running())
+            continue;
         const auto& record = one.lease().record();
         succession::succession_view view;
         for (const auto& known : m_upstreams)
             if (known.service == service)
                 view.claim.upstreams.push_back(known);
         view.claim.members = m_fleet.voter_count();
-        view.claim.has_other_hosts = !m_fleet.all_vote();
+        view.claim.all_aware = [&, &name = service](std::uint64_t version,
+                                                    core::boot_instant since) {
+            return m_members_read_at >= since &&
+                   m_fleet.all_aware(name, version, since);
+        };
         view.claim.aware = [&, &name = service](std::uint64_t version,
                                                 core::boot_instant since) {
             return m_fleet.members_aware(name, version, since);
         };
         view.doubts_primary = m_pooler.is_doubted(service, record.primary, now);
         view.doubters = m_fleet.doubters(service, record.version, now);
-        view.live = live.size();
+        view.watchers = m_fleet.watchers(service, now);
+        view.watches = watches(service);
         view.rank = rank_for(service, now);
-        view.writer_is_live =
-            std::find(live.begin(), live.end(), record.writer) != live.end();
+        view.writer_goes_on =
+            std::find(live.begin(), live.end(), record.writer) != live.end() &&
+            !m_fleet.cannot_write(record.writer, service);
         const bool was_running = one.running().has_value();
         const auto wanted = one.tick(view, now);
         if (!was_running && one.running())
@@ -309,6 +357,16 @@
     return found != m_successions.end() && found->second.running();
 }
 
+bool entry_host::has_claimed(const std::string& service) const
+{
+    const auto found = m_successions.find(service);
+    if (found == m_successions.end() || !found->second.running())
+        return false;
+    const auto& record = found->second.lease().record();
+    return record.phase == succession::leadership_phase::claimed &&
+           record.writer == m_identity.name;
+}
+
 bool entry_host::is_ready(core::boot_instant now) const
 {
     if (!has_routing() || !m_knows_records || m_upstreams.empty() ||
--- a/src/plantainward/entry/entry_host.hpp
+++ b/src/plantainward/entry/entry_host.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <plantainward/entry/upstream_directory.hpp>
+#include <plantainward/fleet/connection_plan.hpp>
 #include <plantainward/fleet/fleet_view.hpp>
 #include <plantainward/observe/log_event.hpp>
 #include <plantainward/pooling/pooler.hpp>
@@ -28,6 +29,11 @@
 {
 };
 
+/// Reads the list of hosts; the answer proves who is registered.
+struct read_members_action
+{
+};
+
 /// A peer has a newer routing than this host.
 struct read_routing_action
 {
@@ -72,10 +78,10 @@
 };
 
 using control_action =
-    std::variant<heartbeat_action, read_records_action, read_routing_action,
-                 read_upstreams_action, write_record_action, ask_status_action,
-                 demote_upstream_action, promote_upstream_action,
-                 remove_member_action>;
+    std::variant<heartbeat_action, read_records_action, read_members_action,
+                 read_routing_action, read_upstreams_action,
+                 write_record_action, ask_status_action, demote_upstream_action,
+                 promote_upstream_action, remove_member_action>;
 
 /// What a host does after one event.
 struct entry_actions
@@ -134,8 +140,13 @@
     entry_actions on_record(const std::string& service,
                             const succession::leadership& record,
                             core::boot_instant now);
-    void on_members(const std::map<std::string, core::address>& members,
+    /// Takes all registered hosts. `read_at` tells that the whole list was read
+    /// no earlier; empty when it follows from news of changes.
+    void on_members(const fleet::members& members,
+                    std::optional<core::boot_instant> read_at,
                     core::boot_instant now);
+    /// Where a registered host is reached; empty when there is none.
+    std::optional<core::address> address_of(const std::string& host) const;
     entry_actions on_heartbeat(std::string_view bytes, core::boot_instant now);
 
     entry_actions on_record_written(const std::string& service,
@@ -163,7 +174,10 @@
     /// Whether this host is replacing the primary of a service.
     bool is_claiming(const std::string& service) const;
 
-    /// Starts no more claims and goes on with none.
+    /// Whether this host has written that it replaces the primary.
+    bool has_claimed(const std::string& service) const;
+
+    /// Starts no more claims; one that runs goes on to its end.
     void stop_claims() { m_claims = false; }
 
 private:
@@ -171,6 +185,10 @@
     void update_primary(succession::succession& one, core::boot_instant now,
                         entry_actions& out);
     void send_heartbeats(core::boot_instant now, entry_actions& out);
+    void send_heartbeat(const std::string& peer,
+                        const std::map<std::string, fleet::service_news>& news,
+                        entry_actions& out);
+    std::set<std::string> heartbeat_targets(core::boot_instant now) const;
     fleet::service_news news_of(const std::string& service,
                                 core::boot_instant now) const;
     void carry_out(const std::string& service,
@@ -188,6 +206,8 @@
     void watch_isolation(core::boot_instant now);
     std::size_t rank_for(const std::string& service,
                          core::boot_instant now) const;
+    void plan_connections();
+    bool watches(const std::string& service) const;
     void tell(observe::log_event event, const std::string& service,
               std::string detail) const;
 
@@ -195,6 +215,13 @@
     pooling::pooler m_pooler;
     fleet::fleet_options m_fleet_options;
     fleet::fleet_view m_fleet;
+    fleet::plan_options m_plan_options;
+    fleet::members m_members;
+    /// The list of hosts was whole at this instant or later.
+    core::boot_instant m_members_read_at{};
+    /// Hosts that told this one of a newer record and wait for its agreement.
+    std::set<std::string> m_awaiting;
+    std::map<std::string, fleet::service_holders> m_holders;
     upstream_directory m_directory;
     std::vector<routes::upstream> m_upstreams;
     std::uint64_t m_upstreams_version{0};
--- a/src/plantainward/entry/entry_host_fleet.cpp
+++ b/src/plantainward/entry/entry_host_fleet.cpp
@@ -85,6 +85,8 @@
     fleet::service_news made;
     const auto& record = m_successions.at(service).lease().record();
     made.record_version = record.version;
+    made.watches_primary = watches(service);
+    made.cannot_write = m_successions.at(service).cannot_write();
     made.doubts_primary = m_pooler.is_doubted(service, record.primary, now);
     if (const auto proved = m_successions.at(service).lease().proved_at())
         made.proof_age_ms = age_in_ms(now, *proved);
@@ -96,6 +98,46 @@
     return made;
 }
 
+// Beside the peers of every round: hosts whose agreement a claim of this host
+// waits for, and hosts that wait for the agreement of this one.
+std::set<std::string>
+entry_host::heartbeat_targets(core::boot_instant now) const
+{
+    const auto usual = m_fleet.targets(now);
+    std::set<std::string> names{usual.begin(), usual.end()};
+    for (const auto& [service, one] : m_successions)
+    {
+        if (!one.running())
+            continue;
+        const auto unaware =
+            m_fleet.unaware(service, one.lease().record().version);
+        names.insert(unaware.begin(), unaware.end());
+    }
+    for (const auto& name : m_awaiting)
+        if (m_fleet.peers().contains(name))
+            names.insert(name);
+    return names;
+}
+
+void entry_host::send_heartbeat(
+    const std::string& peer,
+    const std::map<std::string, fleet::service_news>& news, entry_actions& out)
+{
+    auto made = m_fleet.make_for(peer);
+    made.knows_records = m_knows_records;
+    made.routing_version = m_pooler.routing().version;
+    made.upstreams_version = m_upstreams_version;
+    for (const auto& [service, one] : news)
+    {
+        auto& told = made.services[fleet::key_of(service)];
+        told = one;
+        if (m_fleet.version_known_by(peer, service) < one.record_version)
+            told.record = m_successions.at(service).lease().record();
+    }
+    out.control.emplace_back(heartbeat_action{m_fleet.peers().at(peer).address,
+                                              fleet::encode(made)});
+}
+
 void entry_host::send_heartbeats(core::boot_instant now, entry_actions& out)
 {
     m_last_round = now;
@@ -103,23 +145,9 @@
     std::map<std::string, fleet::service_news> services;
     for (const auto& [service, one] : m_successions)
         services.emplace(service, news_of(service, now));
-    for (const auto& name : m_fleet.targets(now))
-    {
-        const auto& peer = m_fleet.peers().at(name);
-        auto made = m_fleet.make_for(name);
-        made.knows_records = m_knows_records;
-        made.routing_version = m_pooler.routing().version;
-        made.upstreams_version = m_upstreams_version;
-        for (const auto& [service, news] : services)
-        {
-            auto& told = made.services[fleet::key_of(service)];
-            told = news;
-            if (m_fleet.version_known_by(name, service) < news.record_version)
-                told.record = m_successions.at(service).lease().record();
-        }
-        out.control.emplace_back(
-            heartbeat_action{peer.address, fleet::encode(made)});
-    }
+    for (const auto& name : heartbeat_targets(now))
+        send_heartbeat(name, services, out);
+    m_awaiting.clear();
 }
 
 entry_actions entry_host::on_heartbeat(std::string_view bytes,
@@ -154,7 +182,10 @@
     }
     read_what_peers_know(*got, now, out);
     if (changed)
+    {
+        m_awaiting.insert(got->host);
         send_heartbeats(now, out);
+    }
     return out;
 }
 
--- a/src/plantainward/entry/host_reports.cpp
+++ b/src/plantainward/entry/host_reports.cpp
@@ -20,6 +20,8 @@
     {
     case pooling::decision_kind::placed:
         return log_event::request_placed;
+    case pooling::decision_kind::forwarded:
+        return log_event::request_forwarded;
     case pooling::decision_kind::queued:
         return log_event::request_queued;
     case pooling::decision_kind::retried:
@@ -60,7 +62,8 @@
                  {"lease_left_ms", std::to_string(one.lease_left.count())},
                  {"mark_age_ms", std::to_string(one.mark_age.count())},
                  {"routing", std::to_string(one.routing_version)}});
-    if (one.kind != pooling::decision_kind::placed)
+    if (one.kind != pooling::decision_kind::placed &&
+        one.kind != pooling::decision_kind::forwarded)
         m_metrics.count("events", observe::row_of(event_of(one.kind)).name);
 }
 
--- a/src/plantainward/fleet/fleet_view.cpp
+++ b/src/plantainward/fleet/fleet_view.cpp
@@ -36,19 +36,18 @@
 {
 }
 
-void fleet_view::set_members(
-    const std::map<std::string, core::address>& members, core::boot_instant now)
+void fleet_view::set_members(const members& all, core::boot_instant now)
 {
-    std::erase_if(
-        m_peers, [&](const auto& one) { return !members.contains(one.first); });
-    for (const auto& [name, address] : members)
+    std::erase_if(m_peers,
+                  [&](const auto& one) { return !all.contains(one.first); });
+    for (const auto& [name, one] : all)
     {
         if (name == m_self)
             continue;
         const auto [place, is_new] = m_peers.try_emplace(name);
         if (is_new)
             place->second.listed_at = now;
-        place->second.address = address;
+        place->second.address = one.address;
     }
     choose_voters();
 }
@@ -204,23 +203,45 @@
     return found == m_peers.end() ? 0 : version_in(found->second.last, service);
 }
 
+bool fleet_view::is_aware(const peer_state& peer, const std::string& service,
+                          std::uint64_t version, core::boot_instant since) const
+{
+    if (peer.last.sequence == 0)
+        return false;
+    const bool holds_no_lease =
+        !peer.last.knows_records && peer.confirmed_at >= since;
+    return holds_no_lease || version_in(peer.last, service) >= version;
+}
+
 std::size_t fleet_view::members_aware(const std::string& service,
                                       std::uint64_t version,
                                       core::boot_instant since) const
 {
     std::size_t count = 1;
     for (const auto& [name, peer] : m_peers)
-    {
-        if (!m_voters.contains(name) || peer.last.sequence == 0)
-            continue;
-        const bool holds_no_lease =
-            !peer.last.knows_records && peer.confirmed_at >= since;
-        if (holds_no_lease || version_in(peer.last, service) >= version)
+        if (m_voters.contains(name) && is_aware(peer, service, version, since))
             ++count;
-    }
     return count;
 }
 
+bool fleet_view::all_aware(const std::string& service, std::uint64_t version,
+                           core::boot_instant since) const
+{
+    return std::all_of(m_peers.begin(), m_peers.end(), [&](const auto& one) {
+        return is_aware(one.second, service, version, since);
+    });
+}
+
+std::vector<std::string> fleet_view::unaware(const std::string& service,
+                                             std::uint64_t version) const
+{
+    std::vector<std::string> names;
+    for (const auto& [name, peer] : m_peers)
+        if (version_in(peer.last, service) < version)
+            names.push_back(name);
+    return names;
+}
+
 std::size_t fleet_view::doubters(const std::string& service,
                                  std::uint64_t version,
                                  core::boot_instant now) const
@@ -238,6 +259,31 @@
     return count;
 }
 
+std::size_t fleet_view::watchers(const std::string& service,
+                                 core::boot_instant now) const
+{
+    std::size_t count = 0;
+    for (const auto& [name, peer] : m_peers)
+    {
+        if (!m_voters.contains(name) || !is_live(peer, now))
+            continue;
+        const auto* news = news_of(peer.last, service);
+        // A voter without news of the service still counts as one that sees.
+        count += news == nullptr || news->watches_primary ? 1 : 0;
+    }
+    return count;
+}
+
+bool fleet_view::cannot_write(const std::string& member,
+                              const std::string& service) const
+{
+    const auto found = m_peers.find(member);
+    if (found == m_peers.end())
+        return false;
+    const auto* news = news_of(found->second.last, service);
+    return news != nullptr && news->cannot_write;
+}
+
 std::vector<std::string> fleet_view::live(core::boot_instant now) const
 {
     std::vector<std::string> names{m_self};
--- a/src/plantainward/fleet/fleet_view.hpp
+++ b/src/plantainward/fleet/fleet_view.hpp
@@ -3,6 +3,7 @@
 #include <plantainward/core/boot_clock.hpp>
 #include <plantainward/core/host.hpp>
 #include <plantainward/core/time.hpp>
+#include <plantainward/fleet/connection_plan.hpp>
 #include <plantainward/fleet/heartbeat.hpp>
 
 #include <cstddef>
@@ -63,8 +64,7 @@
                fleet_options options);
 
     /// Takes the registered members; this host is left out.
-    void set_members(const std::map<std::string, core::address>& members,
-                     core::boot_instant now);
+    void set_members(const members& all, core::boot_instant now);
 
     /// Starts a round of heartbeats; the same sequence goes to all members.
     void start_round(core::boot_instant now);
@@ -104,10 +104,30 @@
     std::size_t members_aware(const std::string& service, std::uint64_t version,
                               core::boot_instant since) const;
 
+    /// Whether every registered host knows this version, or had read no record
+    /// yet at `since`.
+    bool all_aware(const std::string& service, std::uint64_t version,
+                   core::boot_instant since) const;
+
+    /// Hosts that are not known to know this version of a record.
+    std::vector<std::string> unaware(const std::string& service,
+                                     std::uint64_t version) const;
+
     /// Live voters that doubt the primary of this record; without this host.
     std::size_t doubters(const std::string& service, std::uint64_t version,
                          core::boot_instant now) const;
 
+    /// Live voters that watch the primary of a service; without this host.
+    std::size_t watchers(const std::string& service,
+                         core::boot_instant now) const;
+
+    /// Whether a member has told that it can't write a service's record.
+    bool cannot_write(const std::string& member,
+                      const std::string& service) const;
+
+    /// Names of all voters.
+    const std::set<std::string>& voters() const { return m_voters; }
+
     /// Names of the live voters, this host included, in order.
     std::vector<std::string> live(core::boot_instant now) const;
 
@@ -130,6 +150,8 @@
     };
 
     void choose_voters();
+    bool is_aware(const peer_state& peer, const std::string& service,
+                  std::uint64_t version, core::boot_instant since) const;
     bool is_live(const peer_state& peer, core::boot_instant now) const;
     std::optional<core::boot_instant> sent_at(std::uint32_t sequence) const;
 
--- a/src/plantainward/fleet/heartbeat.cpp
+++ b/src/plantainward/fleet/heartbeat.cpp
@@ -16,7 +16,7 @@
 {
 
 // Names the format; another one is refused.
-constexpr std::uint16_t format = 0x5031;
+constexpr std::uint16_t format = 0x5032;
 
 // Longest name that a heartbeat carries, in bytes.
 constexpr std::size_t max_text = 200;
@@ -60,8 +60,8 @@
 void exchange_news(Archive& archive, service_news& one)
 {
     bool has_record = one.record.has_value();
-    archive(one.record_version, one.doubts_primary, has_record, one.mark_age_ms,
-            one.proof_age_ms);
+    archive(one.record_version, one.watches_primary, one.doubts_primary,
+            one.cannot_write, has_record, one.mark_age_ms, one.proof_age_ms);
     if (one.mark_age_ms >= 0)
         archive(one.mark);
     if (!has_record)
--- a/src/plantainward/fleet/heartbeat.hpp
+++ b/src/plantainward/fleet/heartbeat.hpp
@@ -25,8 +25,14 @@
     std::uint64_t record_version{0};
     /// The record itself, for a peer that knows an older one.
     std::optional<succession::leadership> record;
+    /// The host has a connection of its own to the primary, and would notice
+    /// its silence.
+    bool watches_primary{true};
     /// The host gets no answer from the primary.
     bool doubts_primary{false};
+    /// The host's last write of the record had no answer, so that a claim of
+    /// its own does not go on.
+    bool cannot_write{false};
     /// Newest mark, with its age when the heartbeat was made; negative: none.
     upstream::log_point mark;
     std::int16_t mark_age_ms{-1};
--- a/src/plantainward/observe/log_event.cpp
+++ b/src/plantainward/observe/log_event.cpp
@@ -17,7 +17,7 @@
 constexpr int failing = 100;
 constexpr int ordinary = 40;
 
-constexpr std::array<log_event_row, 28> table{{
+constexpr std::array<log_event_row, 30> table{{
     {started, "started", rare, "the process listens"},
     {stopped, "stopped", rare, "the process ends after a graceful shutdown"},
     {draining, "draining", rare, "a stop was asked for"},
@@ -52,9 +52,14 @@
     {isolation_over, "isolation_over", rare, "leases are proved again"},
     {heartbeat_refused, "heartbeat_refused", rare,
      "a datagram is no heartbeat"},
+    {peer_message_refused, "peer_message_refused", rare,
+     "a message of another host could not be decoded"},
     {request_placed, "request_placed", ordinary,
      "a statement goes to a database; with the age of the mark, what is left "
      "of the lease, and the attempt"},
+    {request_forwarded, "request_forwarded", ordinary,
+     "another host runs the statement on its connections; its lines carry the "
+     "same id"},
     {request_queued, "request_queued", failing,
      "no database can take the statement now"},
     {request_retried, "request_retried", failing,
--- a/src/plantainward/peer/frame.cpp
+++ b/src/plantainward/peer/frame.cpp
@@ -1,7 +1,7 @@
 #include <plantainward/peer/frame.hpp>
 
+#include <plantainward/core/archive.hpp>
 #include <plantainward/core/last_reason.hpp>
-#include <plantainward/peer/internal/archive.hpp>
 
 #include <cereal/types/string.hpp>
 
@@ -17,7 +17,7 @@
 
 std::string encode(const frame& one)
 {
-    const auto body = internal::to_bytes(one);
+    const auto body = core::to_bytes(one);
     std::string bytes;
     bytes.reserve(frame_header_bytes + body.size());
     for (unsigned shift = 0; shift < 32; shift += 8)
@@ -42,7 +42,7 @@
 
 std::optional<frame> decode_body(std::string_view body)
 {
-    return internal::from_bytes<frame>(body);
+    return core::from_bytes<frame>(body, "frame of a peer");
 }
 
 } // namespace plantainward::peer
--- a/src/plantainward/peer/frame.hpp
+++ b/src/plantainward/peer/frame.hpp
@@ -19,7 +19,14 @@
     fetch_revision,
     revision,
     /// The receiver does not serve this kind.
-    refused
+    refused,
+    /// A statement that the receiver runs for a session of the sender.
+    statement,
+    statement_reply,
+    /// An operation of the sender has ended.
+    end_operation,
+    /// Asks whether the receiver still answers; answered in kind.
+    probe
 };
 
 /// One message on a link; the number matches an answer to its request.
--- a/src/plantainward/peer/payload.cpp
+++ b/src/plantainward/peer/payload.cpp
@@ -1,6 +1,6 @@
 #include <plantainward/peer/payload.hpp>
 
-#include <plantainward/peer/internal/archive.hpp>
+#include <plantainward/core/archive.hpp>
 
 #include <cereal/types/optional.hpp>
 #include <cereal/types/string.hpp>
@@ -9,8 +9,8 @@
 namespace plantainward::peer
 {
 
-using internal::from_bytes;
-using internal::to_bytes;
+using core::from_bytes;
+using core::to_bytes;
 
 std::string encode(const coordinator::caller_request& request)
 {
@@ -20,7 +20,7 @@
 std::optional<coordinator::caller_request>
 decode_request(std::string_view bytes)
 {
-    return from_bytes<coordinator::caller_request>(bytes);
+    return from_bytes<coordinator::caller_request>(bytes, "message of a peer");
 }
 
 std::string encode(const coordinator::caller_reply& reply)
@@ -30,7 +30,7 @@
 
 std::optional<coordinator::caller_reply> decode_reply(std::string_view bytes)
 {
-    return from_bytes<coordinator::caller_reply>(bytes);
+    return from_bytes<coordinator::caller_reply>(bytes, "message of a peer");
 }
 
 std::string encode(const revision_document& document)
@@ -40,7 +40,7 @@
 
 std::optional<revision_document> decode_revision(std::string_view bytes)
 {
-    return from_bytes<revision_document>(bytes);
+    return from_bytes<revision_document>(bytes, "message of a peer");
 }
 
 std::string encode(const failover::opinion& one)
@@ -50,7 +50,7 @@
 
 std::optional<failover::opinion> decode_opinion(std::string_view bytes)
 {
-    return from_bytes<failover::opinion>(bytes);
+    return from_bytes<failover::opinion>(bytes, "message of a peer");
 }
 
 } // namespace plantainward::peer
--- a/src/plantainward/peer/peer_client.cpp
+++ b/src/plantainward/peer/peer_client.cpp
@@ -16,7 +16,7 @@
         const std::lock_guard lock(m_mutex);
         auto& mine = m_links[where];
         if (!mine)
-            mine = std::make_shared<peer_link>(m_io, where);
+            mine = std::make_shared<peer_link>(m_io, where, m_options);
         link = mine;
     }
     link->call(kind, std::move(payload), timeout, std::move(handler));
--- a/src/plantainward/peer/peer_link.cpp
+++ b/src/plantainward/peer/peer_link.cpp
@@ -14,16 +14,10 @@
 namespace asio = boost::asio;
 using boost::system::error_code;
 
-namespace
-{
-
-constexpr core::millis sweep_interval{20};
-
-} // namespace
-
-peer_link::peer_link(asio::io_context& io, core::address where)
+peer_link::peer_link(asio::io_context& io, core::address where,
+                     link_options options)
     : m_strand(asio::make_strand(io)), m_socket(m_strand), m_sweep(m_strand),
-      m_where(std::move(where))
+      m_where(std::move(where)), m_options(options)
 {
 }
 
@@ -41,6 +35,8 @@
                            core::millis timeout, call_handler handler)
 {
     const auto number = ++m_last_number;
+    if (m_calls.empty())
+        m_silent_since = core::steady::now();
     m_calls.emplace(number, pending_call{std::move(handler),
                                          core::steady::now() + timeout, false});
     m_outgoing.push_back({number, encode({kind, number, std::move(payload)})});
@@ -84,10 +80,9 @@
         const auto found = m_calls.find(next.number);
         // A call that has timed out in the line was never sent.
         if (found != m_calls.end())
-        {
             found->second.written = true;
+        if (found != m_calls.end() || next.number == 0)
             m_writing += next.bytes;
-        }
         m_outgoing.pop_front();
     }
     if (m_writing.empty())
@@ -144,6 +139,8 @@
 
 void peer_link::take(frame answer)
 {
+    m_silent_since = core::steady::now();
+    m_probed = false;
     const auto found = m_calls.find(answer.number);
     if (found == m_calls.end())
         return;
@@ -160,6 +157,7 @@
     m_socket.close(ignored);
     m_writing.clear();
     m_outgoing.clear();
+    m_probed = false;
     auto calls = std::exchange(m_calls, {});
     for (auto& [number, one] : calls)
         one.handler(one.written ? call_end::lost : call_end::not_sent, {});
@@ -167,7 +165,7 @@
 
 void peer_link::sweep()
 {
-    m_sweep.expires_after(sweep_interval);
+    m_sweep.expires_after(m_options.sweep_interval);
     m_sweep.async_wait(asio::bind_executor(
         m_strand, [self = shared_from_this()](error_code error) {
             if (error)
@@ -183,6 +181,7 @@
             for (auto& one : late)
                 one.handler(one.written ? call_end::lost : call_end::not_sent,
                             {});
+            self->watch_silence(now);
             if (self->m_calls.empty())
                 self->m_sweeping = false;
             else
@@ -190,6 +189,22 @@
         }));
 }
 
+void peer_link::watch_silence(core::instant now)
+{
+    if (m_options.silence == core::millis(0) || m_calls.empty())
+        return;
+    const auto silent = now - m_silent_since;
+    if (silent > m_options.silence)
+        return fail_all();
+    if (silent * 2 < m_options.silence || m_probed ||
+        m_state != link_state::connected)
+        return;
+    m_probed = true;
+    m_outgoing.push_back({0, encode({frame_kind::probe, 0, {}})});
+    if (m_writing.empty())
+        write_more();
+}
+
 void peer_link::close()
 {
     asio::dispatch(m_strand, [self = shared_from_this()] { self->fail_all(); });
--- a/src/plantainward/peer/peer_link.hpp
+++ b/src/plantainward/peer/peer_link.hpp
@@ -20,7 +20,8 @@
 class peer_link : public std::enable_shared_from_this<peer_link>
 {
 public:
-    peer_link(boost::asio::io_context& io, core::address where);
+    peer_link(boost::asio::io_context& io, core::address where,
+              link_options options);
 
     void call(frame_kind kind, std::string payload, core::millis timeout,
               call_handler handler);
@@ -56,11 +57,16 @@
     void take(frame answer);
     void fail_all();
     void sweep();
+    void watch_silence(core::instant now);
 
     boost::asio::strand<boost::asio::io_context::executor_type> m_strand;
     boost::asio::ip::tcp::socket m_socket;
     boost::asio::steady_timer m_sweep;
     core::address m_where;
+    link_options m_options;
+    /// Since when nothing has come although something was owed.
+    core::instant m_silent_since{};
+    bool m_probed{false};
     link_state m_state{link_state::idle};
     std::uint64_t m_last_number{0};
     /// Counts connections, so that events of an old one are dropped.
--- a/src/plantainward/peer/peer_server.cpp
+++ b/src/plantainward/peer/peer_server.cpp
@@ -70,6 +70,11 @@
         auto one = decode_body(m_body);
         if (!one)
             return drop();
+        if (one->kind == frame_kind::probe)
+        {
+            answer({frame_kind::probe, one->number, {}});
+            return read_header();
+        }
         m_on_frame(one->kind, std::move(one->payload),
                    [self = shared_from_this(),
                     number = one->number](frame_kind kind, std::string bytes) {
--- a/src/plantainward/pooling/action.hpp
+++ b/src/plantainward/pooling/action.hpp
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <plantainward/pooling/forwarded_work.hpp>
 #include <plantainward/routes/routing.hpp>
 #include <plantainward/sql/upstream_message.hpp>
 
 #include <cstdint>
+#include <string>
 #include <variant>
 #include <vector>
 
@@ -43,8 +45,34 @@
     sql::reply reply;
 };
 
+/// Has another host run a statement.
+struct forward_action
+{
+    std::string host;
+    operation_id operation{0};
+    session_id session{0};
+    forwarded_work work;
+};
+
+/// Tells a host that an operation has ended here; what it still runs for it is
+/// rolled back.
+struct end_forwarding_action
+{
+    std::string host;
+    operation_id operation{0};
+};
+
+/// Answers the statement in work of an operation of another host.
+struct forwarded_reply_action
+{
+    std::string host;
+    operation_id operation{0};
+    forwarded_reply reply;
+};
+
 using action =
-    std::variant<open_action, send_action, close_action, reply_action>;
+    std::variant<open_action, send_action, close_action, reply_action,
+                 forward_action, end_forwarding_action, forwarded_reply_action>;
 using actions = std::vector<action>;
 
 } // namespace plantainward::pooling
--- a/src/plantainward/pooling/connection.hpp
+++ b/src/plantainward/pooling/connection.hpp
@@ -3,9 +3,9 @@
 #include <plantainward/core/boot_clock.hpp>
 #include <plantainward/core/enum_names.hpp>
 #include <plantainward/pooling/action.hpp>
+#include <plantainward/pooling/session_state.hpp>
 
 #include <cstddef>
-#include <map>
 #include <set>
 #include <string>
 
@@ -33,9 +33,6 @@
     {"opening", "idle", "preparing", "running", "pinned", "rolling_back",
      "probing"}};
 
-/// Session values by name.
-using session_values = std::map<std::string, std::string>;
-
 /// One connection to a database, as the decisions see it.
 struct connection
 {
--- a/src/plantainward/pooling/pooler.cpp
+++ b/src/plantainward/pooling/pooler.cpp
@@ -70,33 +70,15 @@
     m_routing = std::move(routing);
     for (const auto& [name, limits] : m_routing.services)
         m_services.try_emplace(name);
-    share_connections();
     return true;
 }
 
-void pooler::set_hosts(std::size_t count)
+void pooler::set_plan(const std::string& service, connection_plan plan)
 {
-    m_hosts = std::max<std::size_t>(1, count);
-    share_connections();
-}
-
-// A part of each database's connections is left for status questions and for
-// connections of restarted hosts that the database still counts.
-void pooler::share_connections()
-{
-    constexpr double shared_part = 0.93;
-    for (auto& [name, service] : m_services)
-    {
-        const auto limits = m_routing.services.find(name);
-        if (limits == m_routing.services.end())
-            continue;
-        const auto all =
-            static_cast<double>(limits->second.max_connections) * shared_part;
-        const auto share =
-            std::max<std::size_t>(1, static_cast<std::size_t>(all) / m_hosts);
-        for (auto& [id, pool] : service.upstreams)
-            pool.set_share(share);
-    }
+    auto& known = m_services[service];
+    known.plan = std::move(plan);
+    for (auto& [id, pool] : known.upstreams)
+        pool.set_share(known.plan.share);
 }
 
 actions pooler::set_upstreams(const std::vector<routes::upstream>& upstreams,
@@ -132,10 +114,11 @@
     }
     for (const auto& one : upstreams)
     {
-        auto& known = m_services[one.service].upstreams;
-        known.try_emplace(one.id, one).first->second.set_what(one);
+        auto& service = m_services[one.service];
+        auto& pool = service.upstreams.try_emplace(one.id, one).first->second;
+        pool.set_what(one);
+        pool.set_share(service.plan.share);
     }
-    share_connections();
     serve_queue();
     return take();
 }
@@ -197,6 +180,7 @@
     if (found == m_sessions.end())
         return take();
     auto& who = found->second;
+    end_forwarding(who);
     if (who.current)
     {
         --m_in_work;
@@ -213,6 +197,8 @@
         if (auto* one = find(who.transaction->connection))
             release(*one, true);
     }
+    if (who.origin)
+        m_remote.erase({who.origin->host, who.origin->operation});
     m_sessions.erase(id);
     serve_queue();
     return take();
@@ -222,7 +208,7 @@
 {
     std::vector<session_id> idle;
     for (const auto& [id, one] : m_sessions)
-        if (!one.current && !one.transaction)
+        if (!one.current && !one.transaction && !one.origin)
             idle.push_back(id);
     return idle;
 }
@@ -287,6 +273,7 @@
 void pooler::roll_back(session& who)
 {
     const auto used = who.transaction->connection;
+    end_forwarding(who);
     who.transaction.reset();
     if (auto* one = find(used))
         release(*one, true);
@@ -301,22 +288,31 @@
     if (route == nullptr)
         return reply(who, answer_error(who, core::error_kind::not_found,
                                        "no route has this database name"));
+    const auto in_force = *route;
+    run_work(who, std::move(one), in_force, in_force.timeout);
+}
+
+void pooler::run_work(session& who, sql::statement one,
+                      const routes::route& route, core::millis time_left)
+{
     work made;
-    made.route = *route;
+    made.route = route;
     const bool writes = writes_data(who, one);
     const bool in_transaction = who.transaction.has_value();
-    made.needs_primary = writes || route->rule == routes::read_rule::latest ||
+    made.needs_primary = writes || route.rule == routes::read_rule::latest ||
                          (in_transaction && !who.transaction->read_only);
-    made.begins = in_transaction && who.transaction->connection == 0;
+    made.begins = in_transaction && !who.transaction->has_started();
     made.is_final =
         one.kind == statement_kind::commit || (writes && !in_transaction);
     made.statement = std::move(one);
     made.received = m_now;
-    made.deadline = m_now + route->timeout;
-    made.wait_until = m_now + std::chrono::duration_cast<core::millis>(
-                                  route->timeout * waiting_share);
+    made.deadline = m_now + time_left;
+    made.wait_until = made.deadline - std::chrono::duration_cast<core::millis>(
+                                          route.timeout * (1 - waiting_share));
     who.current = std::move(made);
     ++m_in_work;
+    if (in_transaction && who.transaction->forwarded)
+        return forward(who, *who.transaction->forwarded);
     if (in_transaction && who.transaction->connection != 0)
     {
         auto& pinned = *find(who.transaction->connection);
@@ -324,23 +320,28 @@
     }
     if (try_start(who))
         return;
-    if (m_isolated)
-        return refuse(who, core::error_kind::overloaded,
-                      "this host can't prove which database is the primary");
+    const bool has_helpers = !m_services[route.service].plan.helpers.empty();
+    if (m_isolated && !has_helpers)
+        return refuse_here(
+            who, "this host can't prove which database is the primary");
     wait(who);
 }
 
 void pooler::reply(session& who, sql::reply answer)
 {
+    if (who.origin)
+        return reply_to_host(who, {std::move(answer), false, false});
     m_out.emplace_back(reply_action{who.id, std::move(answer)});
 }
 
 void pooler::finish(session& who, sql::reply answer)
 {
     const auto& done = *who.current;
-    if (m_on_statement)
+    const bool at_replica = !done.at_primary;
+    // The host that the caller is connected to counts it.
+    if (m_on_statement && !who.origin)
         m_on_statement(
-            {done.route, answer.error, !done.at_primary,
+            {done.route, answer.error, at_replica,
              std::chrono::duration_cast<core::millis>(m_now - done.received)});
     if (ends_transaction(done))
     {
@@ -352,6 +353,8 @@
     who.last_active = m_now;
     --m_in_work;
     std::erase(m_queue, who.id);
+    if (who.origin)
+        return reply_to_host(who, {std::move(answer), at_replica, false});
     reply(who, std::move(answer));
     while (!who.current && !who.queued.empty())
     {
@@ -375,9 +378,12 @@
 {
     if (auto* one = find(who.transaction->connection))
         release(*one, true);
+    end_forwarding(who);
     who.transaction->connection = 0;
     who.failed = true;
     who.owes_failure = !told;
+    if (who.origin && !who.current)
+        m_ended_remote.push_back(who.id);
 }
 
 void pooler::wait(session& who)
@@ -404,7 +410,7 @@
     {
         const auto found = m_sessions.find(id);
         if (found == m_sessions.end() || !found->second.current ||
-            found->second.current->connection != 0)
+            !is_waiting(*found->second.current))
             continue;
         if (try_start(found->second))
             std::erase(m_queue, id);
@@ -417,6 +423,8 @@
     auto& service = m_services[what.route.service];
     if (what.attempts >= most_attempts)
         return false;
+    if (!who.origin && !service.plan.helpers.empty())
+        return try_forward(who);
     const auto chosen =
         place(service, what, who, m_options.failure_domain, m_now);
     if (!chosen)
@@ -450,7 +458,7 @@
             fail_transaction(who, false);
         if (!who.current)
             continue;
-        const bool waits = who.current->connection == 0;
+        const bool waits = is_waiting(*who.current);
         if (m_now >= (waits ? who.current->wait_until : who.current->deadline))
             late.push_back(id);
     }
@@ -458,12 +466,21 @@
     {
         auto& who = m_sessions.at(id);
         const auto used = who.current->connection;
-        if (used == 0)
+        if (is_waiting(*who.current))
         {
             refuse(who, core::error_kind::overloaded,
                    "no database could run it in time");
             continue;
         }
+        if (who.current->forwarded)
+        {
+            note(decision_kind::timed_out, who, who.current->forwarded->host,
+                 "forwarded");
+            end_forwarding(who);
+            refuse(who, core::error_kind::outcome_unknown,
+                   "the time limit of the statement has passed");
+            continue;
+        }
         const auto* one = find(used);
         const bool sent = one->stage == connection_stage::running;
         note(decision_kind::timed_out, who, one->upstream,
@@ -479,6 +496,12 @@
     }
 }
 
+actions pooler::take()
+{
+    end_remote_sessions();
+    return std::exchange(m_out, {});
+}
+
 actions pooler::tick(core::boot_instant now)
 {
     m_now = now;
@@ -488,9 +511,13 @@
         auto& what = *m_sessions.at(id).current;
         if (now - what.received >
             retry_interval * static_cast<int>(what.attempts + 1))
+        {
             what.excluded.clear();
+            what.excluded_hosts.clear();
+        }
     }
     drop_silent();
+    drop_surplus();
     serve_queue();
     probe_silent();
     return take();
--- a/src/plantainward/pooling/pooler.hpp
+++ b/src/plantainward/pooling/pooler.hpp
@@ -22,6 +22,7 @@
 enum class decision_kind : std::uint8_t
 {
     placed,
+    forwarded,
     queued,
     retried,
     lost,
@@ -89,8 +90,11 @@
     actions set_upstreams(const std::vector<routes::upstream>& upstreams,
                           core::boot_instant now);
 
-    /// Hosts that share the connections of the databases.
-    void set_hosts(std::size_t count);
+    /// Says who holds the connections of a service.
+    void set_plan(const std::string& service, connection_plan plan);
+
+    /// A draining host takes no new work of other hosts.
+    void set_draining() { m_draining = true; }
 
     /// Names the primary of a service and until when it may be used.
     actions set_primary(const std::string& service, const std::string& upstream,
@@ -131,6 +135,21 @@
     actions on_answer(connection_id id, sql::command_answer answer,
                       core::boot_instant now);
 
+    /// Runs a statement for another host. Each is answered by one
+    /// `forwarded_reply_action`; an operation has one statement in work.
+    actions run_forwarded(const std::string& host, operation_id operation,
+                          forwarded_work work, core::boot_instant now);
+    /// Forgets an operation of another host and rolls back what is open.
+    actions end_forwarded(const std::string& host, operation_id operation,
+                          core::boot_instant now);
+
+    /// Takes the answer to a statement that this host passed on.
+    actions on_forwarded(session_id id, operation_id operation,
+                         forwarded_reply answer, core::boot_instant now);
+    /// The answer will not come; `sent` when the statement may have run.
+    actions on_forward_lost(session_id id, operation_id operation, bool sent,
+                            core::boot_instant now);
+
     /// Ends what has waited too long, asks silent databases, serves the queue.
     actions tick(core::boot_instant now);
 
@@ -147,6 +166,8 @@
     // Sessions and statements.
     void start(session& who, sql::statement one);
     void start_work(session& who, sql::statement one);
+    void run_work(session& who, sql::statement one, const routes::route& route,
+                  core::millis time_left);
     void begin(session& who, const sql::statement& one);
     void roll_back(session& who);
     void reply(session& who, sql::reply answer);
@@ -154,6 +175,15 @@
     void refuse(session& who, core::error_kind kind, const std::string& text);
     void fail_transaction(session& who, bool told);
 
+    // Work that other hosts run for this one, and this one for others.
+    bool try_forward(session& who);
+    void forward(session& who, forwarding to);
+    void forwarded_done(session& who, forwarded_reply answer);
+    void end_forwarding(session& who);
+    void reply_to_host(session& who, forwarded_reply answer);
+    void refuse_here(session& who, const std::string& text);
+    void end_remote_sessions();
+
     // The queue.
     void wait(session& who);
     void serve_queue();
@@ -171,7 +201,7 @@
     void release(connection& one, bool in_transaction);
     void drop(connection_id id);
     void connection_lost(connection_id id);
-    void work_lost(session& who, connection_stage stage);
+    void work_lost(session& who, bool sent, std::string_view detail);
     void retry_elsewhere(session& who, const std::string& upstream,
                          sql::refusal why);
     void setup_ended(connection& one, const sql::command_answer& last);
@@ -180,22 +210,30 @@
     void learn(connection& one, const sql::command_answer& answer);
     void drop_silent();
     void probe_silent();
-    void share_connections();
+    void drop_surplus();
     void note(decision_kind kind, const session& who,
               const std::string& upstream, std::string detail);
-    actions take() { return std::exchange(m_out, {}); }
+    actions take();
 
     pooler_options m_options;
     decision_observer m_on_decision;
     statement_observer m_on_statement;
     routes::routing m_routing;
-    std::size_t m_hosts{1};
     std::map<std::string, service_view> m_services;
     std::unordered_map<connection_id, connection_place> m_places;
     std::unordered_map<session_id, session> m_sessions;
     std::vector<session_id> m_queue;
     std::size_t m_in_work{0};
     bool m_isolated{false};
+    bool m_draining{false};
+    operation_id m_last_operation{0};
+    /// Sessions of other hosts by the operation that they run.
+    std::map<std::pair<std::string, operation_id>, session_id> m_remote;
+    session_id m_last_remote{0};
+    /// Remote sessions whose operation has ended.
+    std::vector<session_id> m_ended_remote;
+    /// Hosts that get no new work before these instants.
+    std::map<std::string, core::boot_instant> m_avoided_hosts;
     connection_id m_last_connection{0};
     core::boot_instant m_now{};
     actions m_out;
--- a/src/plantainward/pooling/pooler_connections.cpp
+++ b/src/plantainward/pooling/pooler_connections.cpp
@@ -146,19 +146,21 @@
         return;
     auto& who = user->second;
     if (who.current && who.current->connection == id)
-        return work_lost(who, one.stage);
+        return work_lost(who, one.stage == connection_stage::running,
+                         connection_stage_names[one.stage]);
     if (who.transaction && who.transaction->connection == id)
         fail_transaction(who, false);
 }
 
-void pooler::work_lost(session& who, connection_stage stage)
+void pooler::work_lost(session& who, bool sent, std::string_view detail)
 {
     auto& what = *who.current;
-    const bool sent = stage == connection_stage::running;
     const bool is_pinned = who.transaction && !what.begins;
-    note(decision_kind::lost, who, {},
-         std::string(connection_stage_names[stage]));
+    note(decision_kind::lost, who,
+         what.forwarded ? what.forwarded->host : std::string(),
+         std::string(detail));
     what.connection = 0;
+    end_forwarding(who);
     if (who.transaction)
         who.transaction->connection = 0;
     if (sent && what.is_final)
@@ -345,8 +347,6 @@
     made.signature = std::move(answer.signature);
     made.position = answer.position;
     made.state = who.state();
-    if (who.transaction)
-        who.transaction->has_result = true;
     finish(who, std::move(made));
     serve_queue();
 }
@@ -398,6 +398,28 @@
     }
 }
 
+// Closes idle connections above the share, which may have shrunk.
+void pooler::drop_surplus()
+{
+    std::vector<connection_id> surplus;
+    for (auto& [name, service] : m_services)
+        for (auto& [id, pool] : service.upstreams)
+        {
+            auto held = pool.connections().size();
+            for (const auto& [number, one] : pool.connections())
+            {
+                if (held <= pool.share())
+                    break;
+                if (one.stage != connection_stage::idle)
+                    continue;
+                surplus.push_back(number);
+                --held;
+            }
+        }
+    for (const auto id : surplus)
+        drop(id);
+}
+
 void pooler::probe_silent()
 {
     for (auto& [name, service] : m_services)
--- /dev/null
+++ b/src/plantainward/pooling/pooler_forwarding.cpp
@@ -0,0 +1,270 @@
+// Work that other hosts run for this one, and work that it runs for them.
+
+#include <plantainward/pooling/pooler.hpp>
+#include <plantainward/pooling/session_rules.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace plantainward::pooling
+{
+
+namespace
+{
+
+// For how long a host that was silent, stopping or without proof of a primary
+// gets no new work: about the time until a second look can differ.
+constexpr core::millis avoid_time{500};
+
+// Ids of sessions of other hosts lie above those of callers' connections.
+constexpr session_id remote_ids = session_id{1} << 63;
+
+core::millis age_of(core::boot_instant now, core::boot_instant since)
+{
+    return std::chrono::duration_cast<core::millis>(now - since);
+}
+
+transaction_part part_of(const session& who)
+{
+    if (!who.transaction)
+        return transaction_part::none;
+    return who.current->begins ? transaction_part::first
+                               : transaction_part::later;
+}
+
+forwarded_work work_of(const session& who, core::boot_instant now)
+{
+    const auto& what = *who.current;
+    forwarded_work made;
+    made.statement = what.statement;
+    made.route = what.route;
+    made.values = who.values;
+    if (const auto found = who.prepared.find(what.statement.name);
+        what.statement.kind == sql::statement_kind::execute &&
+        found != who.prepared.end())
+        made.prepared = found->second;
+    made.part = part_of(who);
+    if (who.transaction)
+    {
+        made.read_only = who.transaction->read_only;
+        made.transaction_age = age_of(now, who.transaction->began);
+    }
+    made.time_left = std::max(core::millis(0), -age_of(now, what.deadline));
+    if (who.own_commit)
+    {
+        made.own_commit = who.own_commit->point;
+        made.own_commit_age = age_of(now, who.own_commit->since);
+    }
+    return made;
+}
+
+} // namespace
+
+bool pooler::try_forward(session& who)
+{
+    auto& what = *who.current;
+    for (const auto& host : m_services[what.route.service].plan.helpers)
+    {
+        if (what.excluded_hosts.contains(host))
+            continue;
+        const auto avoided = m_avoided_hosts.find(host);
+        if (avoided != m_avoided_hosts.end() && m_now < avoided->second)
+            continue;
+        ++what.attempts;
+        forward(who, {host, ++m_last_operation});
+        return true;
+    }
+    return false;
+}
+
+void pooler::forward(session& who, forwarding to)
+{
+    auto& what = *who.current;
+    note(decision_kind::forwarded, who, to.host, {});
+    what.forwarded = to;
+    if (who.transaction)
+        who.transaction->forwarded = to;
+    m_out.emplace_back(
+        forward_action{to.host, to.operation, who.id, work_of(who, m_now)});
+}
+
+void pooler::end_forwarding(session& who)
+{
+    std::optional<forwarding> one;
+    if (who.transaction)
+        one = std::exchange(who.transaction->forwarded, std::nullopt);
+    if (who.current && who.current->forwarded)
+        one = std::exchange(who.current->forwarded, std::nullopt);
+    if (one)
+        m_out.emplace_back(end_forwarding_action{one->host, one->operation});
+}
+
+actions pooler::on_forwarded(session_id id, operation_id operation,
+                             forwarded_reply answer, core::boot_instant now)
+{
+    m_now = now;
+    const auto found = m_sessions.find(id);
+    if (found == m_sessions.end() || !found->second.current)
+        return take();
+    auto& who = found->second;
+    auto& what = *who.current;
+    if (!what.forwarded || what.forwarded->operation != operation)
+        return take();
+    if (!answer.try_elsewhere)
+    {
+        forwarded_done(who, std::move(answer));
+        return take();
+    }
+    const auto host = what.forwarded->host;
+    note(decision_kind::retried, who, host, answer.reply.text);
+    m_avoided_hosts[host] = now + avoid_time;
+    what.excluded_hosts.insert(host);
+    what.forwarded.reset();
+    if (who.transaction)
+        who.transaction->forwarded.reset();
+    if (!try_start(who))
+        wait(who);
+    return take();
+}
+
+void pooler::forwarded_done(session& who, forwarded_reply answer)
+{
+    auto& what = *who.current;
+    what.forwarded.reset();
+    what.at_primary = !answer.at_replica;
+    if (answer.reply.error)
+    {
+        // The other host has ended the transaction already.
+        if (who.transaction)
+            who.transaction->forwarded.reset();
+        return refuse(who, *answer.reply.error, answer.reply.text);
+    }
+    const bool committed =
+        what.is_final && (!who.transaction || !who.transaction->read_only);
+    if (committed && answer.reply.position)
+        who.own_commit = freshness::mark{m_now, *answer.reply.position};
+    answer.reply.state = who.state();
+    finish(who, std::move(answer.reply));
+}
+
+actions pooler::on_forward_lost(session_id id, operation_id operation,
+                                bool sent, core::boot_instant now)
+{
+    m_now = now;
+    const auto found = m_sessions.find(id);
+    if (found == m_sessions.end() || !found->second.current)
+        return take();
+    auto& who = found->second;
+    auto& what = *who.current;
+    if (!what.forwarded || what.forwarded->operation != operation)
+        return take();
+    m_avoided_hosts[what.forwarded->host] = now + avoid_time;
+    what.excluded_hosts.insert(what.forwarded->host);
+    work_lost(who, sent, sent ? "sent to a host" : "not sent to a host");
+    serve_queue();
+    return take();
+}
+
+actions pooler::run_forwarded(const std::string& host, operation_id operation,
+                              forwarded_work work, core::boot_instant now)
+{
+    m_now = now;
+    const auto key = std::pair(host, operation);
+    const auto known = m_remote.find(key);
+    const bool goes_on = work.part == transaction_part::later;
+    const auto reject = [&](core::error_kind kind, const char* text,
+                            bool try_elsewhere) {
+        forwarded_reply made;
+        made.reply.error = kind;
+        made.reply.text = text;
+        made.try_elsewhere = try_elsewhere;
+        m_out.emplace_back(
+            forwarded_reply_action{host, operation, std::move(made)});
+        return take();
+    };
+    // The transaction was ended here, or a message came twice.
+    const bool is_known = known != m_remote.end();
+    if (goes_on != is_known || (is_known && m_sessions[known->second].current))
+        return reject(core::error_kind::transaction_lost,
+                      "the transaction is not known here", false);
+    const bool holds_none = m_services[work.route.service].plan.share == 0;
+    if (!goes_on && (holds_none || m_draining))
+        return reject(core::error_kind::overloaded,
+                      m_draining ? "the host is stopping"
+                                 : "the host holds no connections",
+                      true);
+    const auto id = goes_on ? known->second : ++m_last_remote | remote_ids;
+    auto& who = m_sessions[id];
+    if (!goes_on)
+    {
+        m_remote[key] = id;
+        who.id = id;
+        who.origin = forwarding{host, operation};
+        who.database = work.route.database;
+    }
+    who.last_active = now;
+    who.values = std::move(work.values);
+    if (work.prepared)
+        who.prepared[work.statement.name] = *work.prepared;
+    if (work.own_commit)
+        who.own_commit =
+            freshness::mark{now - work.own_commit_age, *work.own_commit};
+    if (work.part == transaction_part::first)
+    {
+        who.transaction.emplace();
+        who.transaction->read_only = work.read_only;
+        who.transaction->began = now - work.transaction_age;
+        who.transaction->route = work.route;
+    }
+    run_work(who, std::move(work.statement), work.route, work.time_left);
+    return take();
+}
+
+// Refuses a statement that another host may be able to run.
+void pooler::refuse_here(session& who, const std::string& text)
+{
+    if (!who.origin)
+        return refuse(who, core::error_kind::overloaded, text);
+    note(decision_kind::refused, who, {}, text);
+    forwarded_reply made;
+    made.reply = answer_error(who, core::error_kind::overloaded, text);
+    made.try_elsewhere = true;
+    std::erase(m_queue, who.id);
+    who.current.reset();
+    --m_in_work;
+    who.transaction.reset();
+    reply_to_host(who, std::move(made));
+}
+
+void pooler::reply_to_host(session& who, forwarded_reply answer)
+{
+    if (!who.transaction || who.failed)
+        m_ended_remote.push_back(who.id);
+    m_out.emplace_back(forwarded_reply_action{
+        who.origin->host, who.origin->operation, std::move(answer)});
+}
+
+actions pooler::end_forwarded(const std::string& host, operation_id operation,
+                              core::boot_instant now)
+{
+    m_now = now;
+    const auto known = m_remote.find({host, operation});
+    if (known == m_remote.end())
+        return take();
+    return close_session(known->second, now);
+}
+
+void pooler::end_remote_sessions()
+{
+    for (const auto id : std::exchange(m_ended_remote, {}))
+    {
+        const auto found = m_sessions.find(id);
+        if (found == m_sessions.end())
+            continue;
+        const auto& origin = *found->second.origin;
+        m_remote.erase({origin.host, origin.operation});
+        m_sessions.erase(found);
+    }
+}
+
+} // namespace plantainward::pooling
--- a/src/plantainward/pooling/service_view.hpp
+++ b/src/plantainward/pooling/service_view.hpp
@@ -4,16 +4,29 @@
 #include <plantainward/freshness/mark_log.hpp>
 #include <plantainward/pooling/upstream_pool.hpp>
 
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace plantainward::pooling
 {
 
+/// Who holds the connections to the databases of a service.
+struct connection_plan
+{
+    /// Connections that this host may hold to each database.
+    std::size_t share{1};
+    /// Hosts that run this host's work, in order of preference; empty when it
+    /// runs the work itself.
+    std::vector<std::string> helpers;
+};
+
 /// The databases of one service and what is proved of them.
 struct service_view
 {
+    connection_plan plan;
     std::map<std::string, upstream_pool> upstreams;
     freshness::mark_log marks;
     /// Recorded primary; empty when none may be used.
--- a/src/plantainward/pooling/session.hpp
+++ b/src/plantainward/pooling/session.hpp
@@ -2,6 +2,7 @@
 
 #include <plantainward/freshness/mark_log.hpp>
 #include <plantainward/pooling/connection.hpp>
+#include <plantainward/pooling/forwarded_work.hpp>
 #include <plantainward/routes/routing.hpp>
 #include <plantainward/sql/caller_message.hpp>
 
@@ -14,11 +15,11 @@
 namespace plantainward::pooling
 {
 
-/// A prepared statement as a session knows it.
-struct prepared_statement
+/// Work of a session that was passed on to another host.
+struct forwarding
 {
-    bool writes{false};
-    std::string shape;
+    std::string host;
+    operation_id operation{0};
 };
 
 /// A transaction that a session has begun.
@@ -30,8 +31,11 @@
     routes::route route;
     /// Connection that runs it; 0 until its first statement has started.
     connection_id connection{0};
-    /// Whether a statement of it was answered with success.
-    bool has_result{false};
+    /// It runs at another host under this id; empty until its first statement
+    /// was sent there.
+    std::optional<forwarding> forwarded;
+
+    bool has_started() const { return connection != 0 || forwarded; }
 };
 
 /// A statement that waits for a database or runs there.
@@ -52,14 +56,24 @@
     /// Databases that can't run it now.
     std::set<std::string> excluded;
     std::size_t attempts{0};
-    /// Connection that runs it; 0 while it waits.
+    /// Hosts that can't run it now.
+    std::set<std::string> excluded_hosts;
+    /// Connection that runs it; 0 while it waits or runs at another host.
     connection_id connection{0};
+    /// Where it runs, if another host runs it.
+    std::optional<forwarding> forwarded;
     /// Log point that the database must have before it begins.
     std::optional<upstream::log_point> after;
     /// It runs on the current primary under a valid lease.
     bool at_primary{false};
 };
 
+/// Whether the statement waits for a database.
+inline bool is_waiting(const work& what)
+{
+    return what.connection == 0 && !what.forwarded;
+}
+
 /// Whether the statement is the commit of its transaction.
 inline bool ends_transaction(const work& what)
 {
@@ -84,6 +98,8 @@
     /// The session's last commit: when it was acknowledged, and where.
     std::optional<freshness::mark> own_commit;
     core::boot_instant last_active{};
+    /// Host whose session this is the shadow of, and its id there.
+    std::optional<forwarding> origin;
 
     sql::transaction_state state() const
     {
--- a/src/plantainward/succession/claim.cpp
+++ b/src/plantainward/succession/claim.cpp
@@ -148,7 +148,7 @@
     const auto aware = view.aware(m_record.version, m_claimed_at);
     if (!m_majority_at && aware * 2 > view.members)
         m_majority_at = now;
-    const bool all_agree = !view.has_other_hosts && aware >= view.members;
+    const bool all_agree = view.all_aware(m_record.version, m_claimed_at);
     const bool leases_over =
         m_majority_at && now - std::max(m_claimed_at, *m_majority_at) >
                              primary_lease::validity + fence_slack;
--- a/src/plantainward/succession/claim.hpp
+++ b/src/plantainward/succession/claim.hpp
@@ -98,11 +98,13 @@
     std::vector<routes::upstream> upstreams;
     /// Voting hosts, this one included.
     std::size_t members{1};
-    /// Hosts beside the voters may hold leases, so that only time ends all.
-    bool has_other_hosts{false};
     /// Voting hosts that have given up the primary of before the claim.
     std::function<std::size_t(std::uint64_t version, core::boot_instant since)>
         aware;
+    /// Whether every host that may hold a lease has given it up: all that were
+    /// registered at `since` or later, voters and others.
+    std::function<bool(std::uint64_t version, core::boot_instant since)>
+        all_aware;
 };
 
 /// Stage of a claim.
@@ -124,7 +126,7 @@
 /// One attempt of this host to replace the primary of a service.
 ///
 /// The record is claimed by a conditional write, then every use of the old
-/// primary ends: all members agree, or the leases of those that don't run out.
+/// primary ends: all hosts agree, or the leases of those that don't run out.
 /// Only then the longest log among the databases is promoted, and the record
 /// is settled. Any step may be the last; another host claims the record then.
 class claim
--- a/src/plantainward/succession/succession.cpp
+++ b/src/plantainward/succession/succession.cpp
@@ -13,8 +13,9 @@
 // conditional write and its news take about 20 ms.
 constexpr core::millis rank_delay{200};
 
-// A claim whose writer is silent is taken over after this time. Longer than
-// the time within which a promotion follows its conditional write.
+// A claim whose writer is silent, or can't write, is taken over after this
+// time. Longer than the time within which a promotion follows its conditional
+// write.
 constexpr core::millis takeover_silence{1500};
 
 // A claim of a live writer that makes no progress; longer than a claim that
@@ -24,6 +25,15 @@
 // Pause after a claim that ended without a result.
 constexpr core::millis retry_pause{300};
 
+/// Whether most hosts that watch the primary doubt it, this one included if it
+/// is one of them.
+bool is_lost(const succession_view& view)
+{
+    if (!view.watches)
+        return view.doubters * 2 > view.watchers;
+    return view.doubts_primary && (view.doubters + 1) * 2 > view.watchers + 1;
+}
+
 } // namespace
 
 succession::succession(std::string self, std::string service)
@@ -60,7 +70,7 @@
         if (record.writer == m_self)
             return claim_cause::abandoned;
         const auto patience =
-            view.writer_is_live ? takeover_stuck : takeover_silence;
+            view.writer_goes_on ? takeover_stuck : takeover_silence;
         if (now - m_record_since < patience)
             return std::nullopt;
         return claim_cause::abandoned;
@@ -75,7 +85,7 @@
         return claim_cause::restarted;
     if (primary->leaving)
         return claim_cause::leaving;
-    if (view.doubts_primary && (view.doubters + 1) * 2 > view.live)
+    if (is_lost(view))
         return claim_cause::lost;
     return std::nullopt;
 }
@@ -105,6 +115,7 @@
 claim_actions succession::on_write(write_end end, std::uint64_t version,
                                    core::boot_instant now)
 {
+    m_cannot_write = end == write_end::unknown;
     if (!m_claim)
         return {};
     auto out = m_claim->on_write(end, version, now);
--- a/src/plantainward/succession/succession.hpp
+++ b/src/plantainward/succession/succession.hpp
@@ -14,12 +14,14 @@
     bool doubts_primary{false};
     /// Other live hosts of which this is true.
     std::size_t doubters{0};
-    /// Live hosts, this one included.
-    std::size_t live{1};
+    /// Other live hosts that would notice its silence.
+    std::size_t watchers{0};
+    /// This host would notice it too.
+    bool watches{true};
     /// Place of this host in the order in which hosts act on the service.
     std::size_t rank{0};
-    /// The host that wrote the record is live.
-    bool writer_is_live{true};
+    /// The host that wrote the record is live and able to write.
+    bool writer_goes_on{true};
 };
 
 /// The primary of one service as this host knows it, and its replacement.
@@ -37,6 +39,9 @@
         m_lease.prove(version, at);
     }
 
+    /// Whether the last write of the record had no answer.
+    bool cannot_write() const { return m_cannot_write; }
+
     /// Starts, goes on with or ends a claim.
     claim_actions tick(const succession_view& view, core::boot_instant now);
 
@@ -61,6 +66,7 @@
     core::boot_instant m_record_since{};
     std::optional<claim_cause> m_cause;
     core::boot_instant m_cause_since{};
+    bool m_cannot_write{false};
     core::boot_instant m_not_before{};
     std::optional<claim> m_claim;
 };
--- a/tests/entry/explorer_tests.cpp
+++ b/tests/entry/explorer_tests.cpp
@@ -80,10 +80,18 @@
     }
 }
 
+/// How many hosts share how many connections.
+struct fleet_size
+{
+    std::size_t hosts;
+    std::size_t max_connections{60};
+    std::size_t domains{1};
+};
+
 /// A seed's first broken promise, empty when there is none.
-std::string run_seed(std::uint64_t seed, std::size_t hosts)
+std::string run_seed(std::uint64_t seed, const fleet_size& size)
 {
-    fleet_world world(hosts, seed);
+    fleet_world world(size.hosts, seed, size.max_connections, size.domains);
     world.run_for(millis(2000));
     world.start_load(millis(10));
     for (int i = 0; i < 10; ++i)
@@ -101,12 +109,12 @@
                : "little is served after the last fault";
 }
 
-void run_seeds(std::size_t hosts, std::uint64_t runs)
+void run_seeds(const fleet_size& size, std::uint64_t runs)
 {
     const auto first = number_from("EXPLORER_SEED", 1);
     for (auto seed = first; seed < first + runs; ++seed)
     {
-        const auto fault = run_seed(seed, hosts);
+        const auto fault = run_seed(seed, size);
         if (!fault.empty())
             std::cerr << "seed " << seed << ": " << fault << '\n';
         STRCMP_EQUAL("", fault.c_str());
@@ -119,10 +127,15 @@
 
 TEST(fleet_explorer, no_promise_breaks_where_every_host_votes)
 {
-    run_seeds(5, number_from("EXPLORER_RUNS", 40));
+    run_seeds({5}, number_from("EXPLORER_RUNS", 40));
 }
 
 TEST(fleet_explorer, no_promise_breaks_where_some_hosts_vote)
 {
-    run_seeds(29, number_from("EXPLORER_RUNS", 40) / 8);
+    run_seeds({29}, number_from("EXPLORER_RUNS", 40) / 8);
+}
+
+TEST(fleet_explorer, no_promise_breaks_where_few_hosts_hold_connections)
+{
+    run_seeds({29, 20, 3}, number_from("EXPLORER_RUNS", 40) / 8);
 }
--- a/tests/entry/failover_tests.cpp
+++ b/tests/entry/failover_tests.cpp
@@ -54,6 +54,29 @@
     LONGS_EQUAL(0, world.history().faults.size());
 }
 
+TEST(fleet_failover, a_claim_whose_host_loses_the_table_service_is_taken_over)
+{
+    // Load: a tick of the table service turns away just the host that claims.
+    settled_world world;
+    world.start_load(millis(10));
+    world.run_for(millis(500));
+    world.crash_database("db-a");
+    std::string claimer;
+    for (int i = 0; i < 3000 && claimer.empty(); ++i)
+    {
+        world.run_for(millis(1));
+        for (std::size_t host = 0; host < world.host_count(); ++host)
+            if (world.host(world.host_name(host)).has_claimed("ledger"))
+                claimer = world.host_name(host);
+    }
+    CHECK_FALSE(claimer.empty());
+    world.cut_store(claimer);
+    world.run_for(millis(8000));
+    // The users expect a change of primary to be over within 6 s.
+    CHECK(world.history().longest_gap < millis(6000));
+    LONGS_EQUAL(0, world.history().faults.size());
+}
+
 TEST(fleet_failover, a_primary_that_most_hosts_reach_is_kept)
 {
     settled_world world;
--- a/tests/platform_adapter/document_tests.cpp
+++ b/tests/platform_adapter/document_tests.cpp
@@ -106,8 +106,8 @@
     const succession::leadership record{
         4, succession::leadership_phase::settled, "i-1", 99, "h-1"};
     CHECK(decode_record(encode_record(record)) == record);
-    CHECK((decode_member(encode_member({"10.0.0.1", 7})) ==
-           core::address{"10.0.0.1", 7}));
+    const fleet::member member{{"10.0.0.1", 7}, "a", 170};
+    CHECK(decode_member(encode_member(member)) == member);
     CHECK_FALSE(decode_record("junk").has_value());
     CHECK_FALSE(decode_member("").has_value());
 }
--- a/tests/pool_processes/pool_process_tests.cpp
+++ b/tests/pool_processes/pool_process_tests.cpp
@@ -1,4 +1,5 @@
 #include <line_database/line_database.hpp>
+#include <plantainward/relay/relay_gateway.hpp>
 #include <process.hpp>
 #include <row_store/row_store.hpp>
 #include <support/raw_client.hpp>
@@ -33,9 +34,9 @@
     return std::string(local) + ":" + std::to_string(port);
 }
 
-std::string settings_of(int host)
+std::string settings_of(int host, std::uint16_t at_store = store_port)
 {
-    const auto store = address_text(store_port);
+    const auto store = address_text(at_store);
     return R"({"node":"host-)" + std::to_string(host) +
            R"(","zone":"a","ip":"127.0.0.1","listen":{"front":")" +
            address_text(port_of(host, 0)) + R"(","ready":")" +
@@ -46,20 +47,34 @@
            R"("},"cloud":{"address":")" + store + R"("}})";
 }
 
-std::string routing_text(int version)
+std::string routing_text(int version, int max_connections)
 {
     return R"({"version":)" + std::to_string(version) +
            R"(,"routes":[{"host":"cards","kind":"primary","service":"s",
             "timeout_ms":3000,"priority":1},{"host":"specs",
             "kind":"bounded_staleness","service":"s","timeout_ms":3000,
             "max_staleness_ms":1500}],"services":[{"name":"s",
-            "max_connections":30}],"limits":{"transaction_idle_ms":3000}})";
+            "max_connections":)" +
+           std::to_string(max_connections) +
+           R"(}],"limits":{"transaction_idle_ms":3000}})";
+}
+
+bench::process start_host(int host, const std::string& settings)
+{
+    const auto path = logs + "/pool-" + std::to_string(host) + ".json";
+    std::filesystem::create_directories(logs);
+    std::ofstream(path) << settings;
+    auto made = bench::process::start(
+        {build + "/programs/plantainward_poold", "--settings", path},
+        logs + "/pool-" + std::to_string(host) + ".log");
+    CHECK(made.has_value());
+    return std::move(*made);
 }
 
 /// The stand-ins and three real hosts.
 struct pool_fleet
 {
-    pool_fleet()
+    explicit pool_fleet(int max_connections = 30)
     {
         std::filesystem::create_directories(logs);
         group->service = "s";
@@ -69,7 +84,7 @@
             [this](const std::string&, const std::string& id,
                    std::uint64_t token) { return promote(id, token); });
         CHECK(store != nullptr);
-        store->put("op", "config", routing_text(1));
+        store->put("op", "config", routing_text(1, max_connections));
         store->put("servers", "damaged", "{\"service\":7}");
         for (int i = 0; i < 3; ++i)
         {
@@ -99,13 +114,7 @@
 
     void start(int host)
     {
-        const auto path = logs + "/pool-" + std::to_string(host) + ".json";
-        std::ofstream(path) << settings_of(host);
-        auto made = bench::process::start(
-            {build + "/programs/plantainward_poold", "--settings", path},
-            logs + "/pool-" + std::to_string(host) + ".log");
-        CHECK(made.has_value());
-        processes.push_back(std::move(*made));
+        processes.push_back(start_host(host, settings_of(host)));
     }
 
     int promote(const std::string& id, std::uint64_t token)
@@ -228,3 +237,60 @@
     CHECK(contains(all, "\"event\":\"registration_rejected\""));
     CHECK(contains(all, "\"event\":\"stopped\""));
 }
+
+TEST(pool_processes,
+     hosts_without_connections_are_served_by_those_that_hold_them)
+{
+    // Two hosts hold the five connections of each database.
+    pool_fleet fleet(5);
+    for (int host = 0; host < hosts; ++host)
+    {
+        support::raw_client one({local, port_of(host, 0)});
+        one.send("START cards u\r\nQUERY 1 SET x 1\r\nQUERY 2 BEGIN\r\n"
+                 "QUERY 3 WRITE a 5\r\nQUERY 4 COMMIT\r\nQUERY 5 READ a\r\n");
+        CHECK(contains(one.read_until("ROW 5\r\n"), "ROW 5"));
+    }
+    std::string all;
+    for (int host = 0; host < hosts; ++host)
+    {
+        std::ifstream log(logs + "/pool-" + std::to_string(host) + ".log");
+        all.append(std::istreambuf_iterator<char>(log), {});
+    }
+    CHECK(contains(all, "\"event\":\"request_forwarded\""));
+}
+
+TEST(pool_processes, a_host_that_is_starting_refuses_the_work_of_others)
+{
+    // Nothing listens where its table service should be, so it never starts.
+    constexpr std::uint16_t no_store = 18199;
+    auto process = start_host(0, settings_of(0, no_store));
+    boost::asio::io_context io;
+    std::optional<pooling::forwarded_reply> answer;
+    relay::relay_events events;
+    events.answered = [&](pooling::session_id, pooling::operation_id,
+                          const pooling::forwarded_reply& one) {
+        answer = one;
+        io.stop();
+    };
+    events.lost = [&](pooling::session_id, pooling::operation_id, bool) {
+        io.stop();
+    };
+    events.malformed = [] {
+    };
+    auto front = relay::relay_gateway::listen(io, {local, 18198}, events);
+    CHECK(front != nullptr);
+    for (int i = 0; i < 100 && !answer; ++i)
+    {
+        front->forward({local, port_of(0, 2)}, {"host-0", 1, 1, {}});
+        io.restart();
+        io.run_for(std::chrono::milliseconds(100));
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    CHECK(answer.has_value());
+    CHECK(answer->try_elsewhere);
+    front->end({local, port_of(0, 2)}, 1);
+    io.restart();
+    io.run_for(std::chrono::milliseconds(100));
+    process.send(SIGTERM);
+    LONGS_EQUAL(0, process.wait());
+}
--- /dev/null
+++ b/tests/pooling/forwarding_tests.cpp
@@ -0,0 +1,369 @@
+#include <plantainward/pooling/pooler.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+#include <deque>
+#include <map>
+#include <string>
+
+using namespace plantainward;
+using namespace plantainward::pooling;
+using core::boot_instant;
+using core::error_kind;
+using core::millis;
+using sql::statement_kind;
+using sql::transaction_state;
+
+namespace
+{
+
+constexpr session_id caller = 1;
+
+/// A host without connections, its two helpers, and what they asked for.
+struct forwarding_case
+{
+    struct host
+    {
+        pooler pool{{"a"}};
+        std::vector<open_action> opened;
+        std::vector<send_action> sent;
+        std::vector<connection_id> closed;
+    };
+
+    forwarding_case()
+    {
+        for (const char* name : {"front", "first", "second"})
+        {
+            auto& pool = hosts[name].pool;
+            pool.set_routing(routing(), now);
+            pool.set_upstreams({{"p", "ledger", {"p", 1}, "a", false, true, 1}},
+                               now);
+            pool.set_primary("ledger", "p", now + millis(100'000), now);
+            pool.set_plan("ledger", {2, {}});
+        }
+        hosts["front"].pool.set_plan("ledger", {0, {"first", "second"}});
+        CHECK(hosts["front"].pool.open_session(caller, "cards", now));
+    }
+
+    static routes::routing routing()
+    {
+        routes::routing made;
+        made.version = 1;
+        made.services["ledger"].max_connections = 30;
+        routes::route one;
+        one.database = "cards";
+        one.service = "ledger";
+        one.rule = routes::read_rule::latest;
+        one.timeout = millis(800);
+        made.routes["cards"] = one;
+        return made;
+    }
+
+    /// Carries out the actions of a host; messages go straight to the other.
+    void take(const std::string& name, const actions& made)
+    {
+        auto& from = hosts.at(name);
+        for (const auto& one : made)
+        {
+            if (const auto* open = std::get_if<open_action>(&one))
+                from.opened.push_back(*open);
+            if (const auto* send = std::get_if<send_action>(&one))
+                from.sent.push_back(*send);
+            if (const auto* close = std::get_if<close_action>(&one))
+                from.closed.push_back(close->connection);
+            if (const auto* answer = std::get_if<reply_action>(&one))
+                replies.push_back(answer->reply);
+            if (const auto* passing = std::get_if<forward_action>(&one))
+                pass(*passing);
+            if (const auto* ended = std::get_if<end_forwarding_action>(&one))
+                take(ended->host,
+                     hosts.at(ended->host)
+                         .pool.end_forwarded("front/1", ended->operation, now));
+            if (const auto* got = std::get_if<forwarded_reply_action>(&one))
+                take("front", hosts.at("front").pool.on_forwarded(
+                                  caller, got->operation, got->reply, now));
+        }
+    }
+
+    void pass(const forward_action& action)
+    {
+        passed.push_back(action);
+        if (silent.contains(action.host))
+            return;
+        take(action.host, hosts.at(action.host)
+                              .pool.run_forwarded("front/1", action.operation,
+                                                  action.work, now));
+    }
+
+    void ask(statement_kind kind, const std::string& text,
+             const std::string& name = {}, const std::string& value = {})
+    {
+        sql::statement one;
+        one.kind = kind;
+        one.id = "q" + std::to_string(++last_id);
+        one.text = text;
+        one.name = name;
+        one.value = value;
+        take("front", hosts["front"].pool.on_statement(caller, one, now));
+    }
+
+    void lose(bool sent)
+    {
+        const auto last = passed.back();
+        take("front", hosts["front"].pool.on_forward_lost(
+                          caller, last.operation, sent, now));
+    }
+
+    void tick(millis time)
+    {
+        now += time;
+        for (auto& [name, one] : hosts)
+            take(name, one.pool.tick(now));
+    }
+
+    /// Lets the connection open that a host asked for last.
+    connection_id let_open(const std::string& name)
+    {
+        const auto id = hosts[name].opened.back().connection;
+        take(name, hosts[name].pool.on_opened(id, now));
+        return id;
+    }
+
+    void succeed(const std::string& name, connection_id id,
+                 transaction_state state = transaction_state::idle)
+    {
+        sql::command_answer one;
+        one.signature = "s";
+        one.state = state;
+        one.position = upstream::log_point{1, 10};
+        take(name, hosts[name].pool.on_answer(id, one, now));
+    }
+
+    const sql::command& last_command(const std::string& name)
+    {
+        return hosts[name].sent.back().commands.back();
+    }
+
+    boot_instant now{std::chrono::seconds(100)};
+    std::map<std::string, host> hosts;
+    std::set<std::string> silent;
+    std::vector<forward_action> passed;
+    std::vector<sql::reply> replies;
+    int last_id{0};
+};
+
+} // namespace
+
+TEST_GROUP(forwarding)
+{
+    forwarding_case c;
+};
+
+TEST(forwarding, a_host_without_connections_has_a_helper_run_the_statement)
+{
+    c.ask(statement_kind::write, "WRITE a 1");
+    LONGS_EQUAL(0, c.hosts["front"].opened.size());
+    const auto id = c.let_open("first");
+    STRCMP_EQUAL("q1", c.last_command("first").id.c_str());
+    STRCMP_EQUAL("WRITE a 1", c.last_command("first").text.c_str());
+    c.succeed("first", id);
+    LONGS_EQUAL(1, c.replies.size());
+    STRCMP_EQUAL("s", c.replies.back().signature.c_str());
+    LONGS_EQUAL(0, c.hosts["first"].pool.session_count());
+}
+
+TEST(forwarding, the_helper_brings_its_connection_to_the_values_of_the_session)
+{
+    c.ask(statement_kind::set_value, "SET x 1", "x", "1");
+    c.ask(statement_kind::prepare, "PREPARE s READ q", "s", "q");
+    c.ask(statement_kind::execute, "EXECUTE s a", "s", "a");
+    const auto id = c.let_open("first");
+    const auto& setup = c.hosts["first"].sent.back().commands;
+    LONGS_EQUAL(2, setup.size());
+    CHECK(setup[0].kind == sql::command_kind::set_value);
+    STRCMP_EQUAL("1", setup[0].value.c_str());
+    STRCMP_EQUAL("q", setup[1].value.c_str());
+    c.succeed("first", id);
+    c.succeed("first", id);
+    CHECK(c.last_command("first").kind == sql::command_kind::execute);
+}
+
+TEST(forwarding, all_statements_of_a_transaction_run_on_one_connection)
+{
+    c.ask(statement_kind::begin, "BEGIN");
+    c.ask(statement_kind::read, "READ a");
+    const auto id = c.let_open("first");
+    c.succeed("first", id, transaction_state::open);
+    c.succeed("first", id, transaction_state::open);
+    c.ask(statement_kind::write, "WRITE a 1");
+    LONGS_EQUAL(id, c.hosts["first"].sent.back().connection);
+    c.succeed("first", id, transaction_state::open);
+    c.ask(statement_kind::commit, "COMMIT");
+    LONGS_EQUAL(id, c.hosts["first"].sent.back().connection);
+    c.succeed("first", id);
+    CHECK(c.replies.back().state == transaction_state::idle);
+    STRCMP_EQUAL("s", c.replies.back().signature.c_str());
+    LONGS_EQUAL(0, c.hosts["first"].pool.session_count());
+}
+
+TEST(forwarding, a_rolled_back_transaction_frees_the_helper)
+{
+    c.ask(statement_kind::begin, "BEGIN");
+    c.ask(statement_kind::read, "READ a");
+    const auto id = c.let_open("first");
+    c.succeed("first", id, transaction_state::open);
+    c.succeed("first", id, transaction_state::open);
+    c.ask(statement_kind::rollback, "ROLLBACK");
+    CHECK_FALSE(c.replies.back().error.has_value());
+    CHECK(c.last_command("first").kind == sql::command_kind::rollback);
+    LONGS_EQUAL(0, c.hosts["first"].pool.session_count());
+}
+
+TEST(forwarding, a_caller_that_leaves_in_a_transaction_frees_the_helper)
+{
+    c.ask(statement_kind::begin, "BEGIN");
+    c.ask(statement_kind::write, "WRITE a 1");
+    const auto id = c.let_open("first");
+    c.succeed("first", id, transaction_state::open);
+    c.succeed("first", id, transaction_state::open);
+    c.take("front", c.hosts["front"].pool.close_session(caller, c.now));
+    CHECK(c.last_command("first").kind == sql::command_kind::rollback);
+}
+
+TEST(forwarding, a_read_whose_helper_is_lost_runs_at_another)
+{
+    c.silent.insert("first");
+    c.ask(statement_kind::read, "READ a");
+    c.lose(true);
+    STRCMP_EQUAL("second", c.passed.back().host.c_str());
+    c.succeed("second", c.let_open("second"));
+    STRCMP_EQUAL("s", c.replies.back().signature.c_str());
+}
+
+TEST(forwarding, a_write_whose_helper_is_lost_is_unknown_and_runs_nowhere_else)
+{
+    c.silent.insert("first");
+    c.ask(statement_kind::write, "WRITE a 1");
+    c.lose(true);
+    LONGS_EQUAL(1, c.passed.size());
+    CHECK(c.replies.back().error == error_kind::outcome_unknown);
+}
+
+TEST(forwarding, a_write_that_never_reached_its_helper_runs_at_another)
+{
+    c.silent.insert("first");
+    c.ask(statement_kind::write, "WRITE a 1");
+    c.lose(false);
+    STRCMP_EQUAL("second", c.passed.back().host.c_str());
+}
+
+TEST(forwarding, a_transaction_whose_helper_is_lost_is_aborted)
+{
+    c.ask(statement_kind::begin, "BEGIN");
+    c.ask(statement_kind::read, "READ a");
+    const auto id = c.let_open("first");
+    c.succeed("first", id, transaction_state::open);
+    c.succeed("first", id, transaction_state::open);
+    c.silent.insert("first");
+    c.ask(statement_kind::read, "READ b");
+    c.lose(true);
+    CHECK(c.replies.back().error == error_kind::transaction_lost);
+    c.ask(statement_kind::rollback, "ROLLBACK");
+    CHECK(c.replies.back().state == transaction_state::idle);
+}
+
+TEST(forwarding, a_lost_helper_gets_no_new_work_for_some_time)
+{
+    // Load: each statement would wait for the silence of the lost host.
+    c.silent.insert("first");
+    c.ask(statement_kind::read, "READ a");
+    c.lose(true);
+    c.succeed("second", c.let_open("second"));
+    c.ask(statement_kind::read, "READ b");
+    STRCMP_EQUAL("second", c.passed.back().host.c_str());
+}
+
+TEST(forwarding, a_stopping_helper_ends_its_transactions_and_takes_no_others)
+{
+    c.ask(statement_kind::begin, "BEGIN");
+    c.ask(statement_kind::read, "READ a");
+    const auto id = c.let_open("first");
+    c.succeed("first", id, transaction_state::open);
+    c.succeed("first", id, transaction_state::open);
+    c.hosts["first"].pool.set_draining();
+    c.ask(statement_kind::commit, "COMMIT");
+    c.succeed("first", id);
+    STRCMP_EQUAL("s", c.replies.back().signature.c_str());
+    c.ask(statement_kind::read, "READ b");
+    STRCMP_EQUAL("second", c.passed.back().host.c_str());
+}
+
+TEST(forwarding, a_helper_without_proof_of_the_primary_sends_work_elsewhere)
+{
+    c.take("first",
+           c.hosts["first"].pool.set_primary("ledger", "p", c.now, c.now));
+    c.hosts["first"].pool.set_isolated(true);
+    c.ask(statement_kind::write, "WRITE a 1");
+    STRCMP_EQUAL("second", c.passed.back().host.c_str());
+    LONGS_EQUAL(0, c.hosts["first"].pool.session_count());
+}
+
+TEST(forwarding, an_operation_that_the_helper_has_ended_is_aborted)
+{
+    c.ask(statement_kind::begin, "BEGIN");
+    c.ask(statement_kind::read, "READ a");
+    const auto id = c.let_open("first");
+    c.succeed("first", id, transaction_state::open);
+    c.succeed("first", id, transaction_state::open);
+    c.take("first", c.hosts["first"].pool.end_transactions(c.now));
+    LONGS_EQUAL(0, c.hosts["first"].pool.session_count());
+    c.ask(statement_kind::commit, "COMMIT");
+    CHECK(c.replies.back().error == error_kind::transaction_lost);
+}
+
+TEST(forwarding, a_message_that_comes_twice_runs_once)
+{
+    c.ask(statement_kind::write, "WRITE a 1");
+    const auto id = c.let_open("first");
+    const auto sent = c.hosts["first"].sent.size();
+    const auto& last = c.passed.back();
+    const auto made = c.hosts["first"].pool.run_forwarded(
+        "front/1", last.operation, last.work, c.now);
+    LONGS_EQUAL(1, made.size());
+    LONGS_EQUAL(sent, c.hosts["first"].sent.size());
+    c.succeed("first", id);
+}
+
+TEST(forwarding, an_unanswered_statement_is_unknown_at_its_time_limit)
+{
+    c.silent.insert("first");
+    c.ask(statement_kind::write, "WRITE a 1");
+    c.tick(millis(810));
+    CHECK(c.replies.back().error == error_kind::outcome_unknown);
+    LONGS_EQUAL(1, c.passed.size());
+}
+
+TEST(forwarding, a_late_answer_is_not_taken_for_that_of_a_later_statement)
+{
+    c.silent.insert("first");
+    c.ask(statement_kind::write, "WRITE a 1");
+    const auto old = c.passed.back().operation;
+    c.tick(millis(810));
+    c.ask(statement_kind::write, "WRITE b 1");
+    forwarded_reply late;
+    late.reply.signature = "old";
+    c.take("front",
+           c.hosts["front"].pool.on_forwarded(caller, old, late, c.now));
+    LONGS_EQUAL(1, c.replies.size());
+}
+
+TEST(forwarding, the_age_of_the_own_commit_goes_along)
+{
+    c.ask(statement_kind::write, "WRITE a 1");
+    c.succeed("first", c.let_open("first"));
+    c.now += millis(70);
+    c.ask(statement_kind::read, "READ a");
+    const auto& work = c.passed.back().work;
+    CHECK((work.own_commit == upstream::log_point{1, 10}));
+    LONGS_EQUAL(70, work.own_commit_age.count());
+}
--- a/tests/pooling/pooler_tests.cpp
+++ b/tests/pooling/pooler_tests.cpp
@@ -29,7 +29,7 @@
         add_route(routing, "specs", routes::read_rule::bounded_age);
         add_route(routing, "status", routes::read_rule::session);
         pool.set_routing(routing, now);
-        pool.set_hosts(10);
+        pool.set_plan("ledger", {2, {}});
         pool.set_upstreams({upstream("p"), upstream("r")}, now);
         pool.set_primary("ledger", "p", now + millis(100'000), now);
     }
--- /dev/null
+++ b/tests/relay/relay_gateway_tests.cpp
@@ -0,0 +1,199 @@
+#include <plantainward/relay/relay_gateway.hpp>
+#include <plantainward/relay/relay_message.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+using namespace plantainward;
+using namespace plantainward::relay;
+using core::millis;
+
+namespace
+{
+
+pooling::forwarded_work some_work()
+{
+    pooling::forwarded_work made;
+    made.statement = {
+        sql::statement_kind::execute, "q1", "EXECUTE s a", "s", "a", false};
+    made.route.database = "cards";
+    made.route.service = "ledger";
+    made.route.rule = routes::read_rule::session;
+    made.route.timeout = millis(700);
+    made.route.max_age = millis(1500);
+    made.values = {{"x", "1"}};
+    made.prepared = pooling::prepared_statement{true, "shape"};
+    made.part = pooling::transaction_part::first;
+    made.read_only = true;
+    made.transaction_age = millis(5);
+    made.time_left = millis(300);
+    made.own_commit = upstream::log_point{3, 99};
+    made.own_commit_age = millis(70);
+    return made;
+}
+
+std::uint16_t free_port(boost::asio::io_context& io)
+{
+    boost::asio::ip::tcp::acceptor probe(
+        io, {boost::asio::ip::address_v4::loopback(), 0});
+    return probe.local_endpoint().port();
+}
+
+/// Two gateways on the loopback address and what they were told.
+struct gateway_pair
+{
+    gateway_pair()
+    {
+        const auto ignore = [] {
+        };
+        relay_events at_front;
+        at_front.run = [](const std::string&, pooling::operation_id,
+                          const pooling::forwarded_work&) {
+        };
+        at_front.end = [](const std::string&, pooling::operation_id) {
+        };
+        at_front.answered = [this](pooling::session_id, pooling::operation_id,
+                                   const pooling::forwarded_reply& one) {
+            answer = one;
+            io.stop();
+        };
+        at_front.lost = [this](pooling::session_id, pooling::operation_id,
+                               bool sent) {
+            lost = sent;
+            io.stop();
+        };
+        at_front.malformed = ignore;
+        relay_events at_holder = at_front;
+        at_holder.run = [this](const std::string& host,
+                               pooling::operation_id operation,
+                               const pooling::forwarded_work& work) {
+            origin = host;
+            got = work;
+            if (!answers)
+                return;
+            pooling::forwarded_reply_action made{host, operation, {}};
+            made.reply.reply.signature = "sig";
+            made.reply.at_replica = true;
+            holder->reply(made);
+        };
+        at_holder.end = [this](const std::string&,
+                               pooling::operation_id operation) {
+            ended = operation;
+            io.stop();
+        };
+        front =
+            relay_gateway::listen(io, {"127.0.0.1", free_port(io)}, at_front);
+        holder = relay_gateway::listen(io, where, at_holder);
+        front->set_origin("front/7");
+    }
+
+    void run() { io.run_for(std::chrono::seconds(3)); }
+
+    boost::asio::io_context io;
+    core::address where{"127.0.0.1", free_port(io)};
+    std::unique_ptr<relay_gateway> front;
+    std::unique_ptr<relay_gateway> holder;
+    bool answers{true};
+    std::string origin;
+    std::optional<pooling::forwarded_work> got;
+    std::optional<pooling::forwarded_reply> answer;
+    std::optional<bool> lost;
+    std::optional<pooling::operation_id> ended;
+};
+
+} // namespace
+
+TEST_GROUP(relay_message){};
+
+TEST(relay_message, a_statement_survives_its_encoding)
+{
+    const auto found = decode_statement(encode({"front/7", 12, some_work()}));
+    CHECK(found.has_value());
+    STRCMP_EQUAL("front/7", found->origin.c_str());
+    LONGS_EQUAL(12, found->operation);
+    const auto& work = found->work;
+    STRCMP_EQUAL("EXECUTE s a", work.statement.text.c_str());
+    CHECK(work.route.rule == routes::read_rule::session);
+    LONGS_EQUAL(700, work.route.timeout.count());
+    STRCMP_EQUAL("1", work.values.at("x").c_str());
+    STRCMP_EQUAL("shape", work.prepared->shape.c_str());
+    CHECK(work.part == pooling::transaction_part::first);
+    CHECK((work.own_commit == upstream::log_point{3, 99}));
+    LONGS_EQUAL(70, work.own_commit_age.count());
+}
+
+TEST(relay_message, random_bytes_are_refused_without_harm)
+{
+    std::mt19937 random(5);
+    for (int i = 0; i < 2000; ++i)
+    {
+        auto bytes = encode(statement_message{"front/7", 12, some_work()});
+        bytes[random() % bytes.size()] ^= static_cast<char>(random() % 255 + 1);
+        bytes.resize(random() % (bytes.size() + 1));
+        (void)decode_statement(bytes);
+        (void)decode_reply(bytes);
+        (void)decode_end(bytes);
+    }
+    CHECK_FALSE(decode_statement("").has_value());
+    CHECK_FALSE(decode_reply("x").has_value());
+}
+
+TEST_GROUP(relay_gateway){};
+
+TEST(relay_gateway, a_statement_is_answered_by_the_other_host)
+{
+    gateway_pair pair;
+    pair.front->forward(pair.where, {"holder", 5, 1, some_work()});
+    pair.run();
+    STRCMP_EQUAL("front/7", pair.origin.c_str());
+    CHECK(pair.answer.has_value());
+    STRCMP_EQUAL("sig", pair.answer->reply.signature.c_str());
+    CHECK(pair.answer->at_replica);
+}
+
+TEST(relay_gateway, a_host_that_answers_probes_is_not_taken_for_lost)
+{
+    // Load: a statement waits for a database for longer than the silence.
+    gateway_pair pair;
+    pair.answers = false;
+    pair.front->forward(pair.where, {"holder", 5, 1, some_work()});
+    pair.io.run_for(millis(700));
+    CHECK(pair.got.has_value());
+    CHECK_FALSE(pair.lost.has_value());
+}
+
+TEST(relay_gateway, a_silent_host_is_lost_within_half_a_second)
+{
+    gateway_pair pair;
+    // Accepts connections and reads nothing.
+    boost::asio::ip::tcp::acceptor silent(
+        pair.io, {boost::asio::ip::address_v4::loopback(), 0});
+    const core::address where{"127.0.0.1", silent.local_endpoint().port()};
+    pair.front->forward(where, {"holder", 5, 1, some_work()});
+    pair.io.run_for(millis(600));
+    CHECK(pair.lost == true);
+}
+
+TEST(relay_gateway, a_host_that_does_not_listen_never_got_the_statement)
+{
+    gateway_pair pair;
+    const core::address where{"127.0.0.1", free_port(pair.io)};
+    pair.front->forward(where, {"holder", 5, 1, some_work()});
+    pair.run();
+    CHECK(pair.lost == false);
+}
+
+TEST(relay_gateway, the_end_of_an_operation_is_told)
+{
+    gateway_pair pair;
+    pair.front->end(pair.where, 9);
+    pair.run();
+    CHECK(pair.ended == 9U);
+}
--- a/tests/succession/claim_tests.cpp
+++ b/tests/succession/claim_tests.cpp
@@ -42,6 +42,9 @@
         view.aware = [this](std::uint64_t, boot_instant) {
             return aware;
         };
+        view.all_aware = [this](std::uint64_t, boot_instant) {
+            return aware >= view.members;
+        };
     }
 
     /// Writes the claim's record as version 6.
@@ -106,6 +109,20 @@
     }
 }
 
+TEST(claim, a_host_that_may_be_registered_and_unknown_is_waited_for)
+{
+    claim_case c(claim_cause::lost);
+    c.view.all_aware = [](std::uint64_t, boot_instant) {
+        return false;
+    };
+    c.write_claim();
+    c.aware = 3;
+    c.tick_after(millis(300));
+    c.all_answer();
+    c.tick_after(millis(1));
+    CHECK(c.one.stage() == claim_stage::gathering);
+}
+
 TEST(claim, without_a_majority_no_time_is_long_enough)
 {
     claim_case c(claim_cause::lost);
--- a/tests/support/fleet_world.cpp
+++ b/tests/support/fleet_world.cpp
@@ -19,6 +19,7 @@
 constexpr millis promote_time{100};
 constexpr millis open_timeout{1000};
 constexpr millis tick_interval{20};
+constexpr millis link_silence{400};
 
 std::string text_of(const sql::command& command)
 {
@@ -27,7 +28,9 @@
 
 } // namespace
 
-fleet_world::fleet_world(std::size_t hosts, std::uint64_t seed) : m_random(seed)
+fleet_world::fleet_world(std::size_t hosts, std::uint64_t seed,
+                         std::size_t max_connections, std::size_t domains)
+    : m_max_connections(max_connections), m_domains(domains), m_random(seed)
 {
     for (const std::string id : {"db-a", "db-b", "db-c"})
     {
@@ -49,6 +52,27 @@
     return "host-" + std::to_string(index);
 }
 
+std::string fleet_world::domain_of(const std::string& name) const
+{
+    const auto number = std::stoul(name.substr(name.find('-') + 1));
+    return std::string(1, static_cast<char>('a' + number % m_domains));
+}
+
+fleet::members fleet_world::members() const
+{
+    fleet::members made;
+    for (const auto& [name, one] : m_hosts)
+        made[name] = {{name, 1}, domain_of(name), 100};
+    return made;
+}
+
+bool fleet_world::holds_connections(const std::string& host) const
+{
+    return fleet::divide_connections(service_name, m_max_connections, members(),
+                                     {}, {})
+        .is_holder(host);
+}
+
 std::vector<std::string> fleet_world::database_ids() const
 {
     std::vector<std::string> ids;
@@ -141,7 +165,8 @@
     one.host.reset();
     one.incarnation = ++m_store_version;
     one.held.clear();
-    one.host.emplace(entry::entry_identity{name, "a", one.incarnation});
+    one.host.emplace(
+        entry::entry_identity{name, domain_of(name), one.incarnation});
     tell_members();
     run(name, one.host->on_routing(routing(), m_now));
     run(name, one.host->on_upstreams(upstreams(), 1, m_now));
@@ -150,12 +175,10 @@
 
 void fleet_world::tell_members()
 {
-    std::map<std::string, core::address> members;
-    for (const auto& [name, one] : m_hosts)
-        members[name] = {name, 1};
+    const auto members = this->members();
     for (auto& [name, one] : m_hosts)
         if (one.host)
-            one.host->on_members(members, m_now);
+            one.host->on_members(members, m_now, m_now);
 }
 
 void fleet_world::tick_host(const std::string& name, std::uint64_t incarnation)
@@ -171,7 +194,7 @@
 {
     routes::routing made;
     made.version = 1;
-    made.services[service_name].max_connections = 60;
+    made.services[service_name].max_connections = m_max_connections;
     const auto add = [&](const char* name, routes::read_rule rule, int age) {
         routes::route one;
         one.database = name;
@@ -235,9 +258,78 @@
             m_calls.erase(found);
             done(replying->reply);
         }
+        else if (const auto* passing =
+                     std::get_if<pooling::forward_action>(&action))
+            forward(name, *passing);
+        else if (const auto* ending =
+                     std::get_if<pooling::end_forwarding_action>(&action))
+            end_forwarding(name, *ending);
+        else if (const auto* answering =
+                     std::get_if<pooling::forwarded_reply_action>(&action))
+            reply_forwarded(name, *answering);
     }
 }
 
+// The origin of forwarded work tells processes apart, as on a real link.
+void fleet_world::forward(const std::string& name,
+                          const pooling::forward_action& action)
+{
+    ++m_history.forwarded;
+    const auto origin =
+        name + "/" + std::to_string(m_hosts.at(name).incarnation);
+    const auto key = std::pair(origin, action.operation);
+    const auto target = m_hosts.at(action.host).incarnation;
+    m_passed_on[key] = {name, action.session};
+    if (!is_cut(name, action.host))
+        on_host(action.host, link_delay, [this, action, origin] {
+            auto& pooler = m_hosts.at(action.host).host->pooler();
+            run(action.host, pooler.run_forwarded(origin, action.operation,
+                                                  action.work, m_now));
+        });
+    // A link that owes an answer and is silent is given up.
+    on_host(name, link_silence, [this, name, action, key, target] {
+        const auto& other = m_hosts.at(action.host);
+        const bool answers = !is_cut(name, action.host) &&
+                             other.incarnation == target &&
+                             m_now >= other.frozen_until;
+        if (answers || !m_passed_on.contains(key))
+            return;
+        m_passed_on.erase(key);
+        run(name, m_hosts.at(name).host->pooler().on_forward_lost(
+                      action.session, action.operation, true, m_now));
+    });
+}
+
+void fleet_world::end_forwarding(const std::string& name,
+                                 const pooling::end_forwarding_action& action)
+{
+    const auto origin =
+        name + "/" + std::to_string(m_hosts.at(name).incarnation);
+    if (is_cut(name, action.host))
+        return;
+    on_host(action.host, link_delay, [this, action, origin] {
+        auto& pooler = m_hosts.at(action.host).host->pooler();
+        run(action.host, pooler.end_forwarded(origin, action.operation, m_now));
+    });
+}
+
+void fleet_world::reply_forwarded(const std::string& name,
+                                  const pooling::forwarded_reply_action& action)
+{
+    const auto found = m_passed_on.find({action.host, action.operation});
+    if (found == m_passed_on.end())
+        return;
+    const auto to = found->second;
+    if (is_cut(name, to.from))
+        return;
+    m_passed_on.erase(found);
+    on_host(to.from, link_delay, [this, to, action] {
+        auto& pooler = m_hosts.at(to.from).host->pooler();
+        run(to.from, pooler.on_forwarded(to.session, action.operation,
+                                         action.reply, m_now));
+    });
+}
+
 void fleet_world::open(const std::string& name,
                        const pooling::open_action& action)
 {
@@ -447,6 +539,17 @@
             });
         });
     }
+    else if (std::holds_alternative<entry::read_members_action>(action))
+    {
+        if (!m_store_up || is_cut(name, store_name))
+            return;
+        const auto asked = m_now;
+        after(store_delay, [this, name, asked] {
+            on_host(name, link_delay, [this, name, asked] {
+                m_hosts.at(name).host->on_members(members(), asked, m_now);
+            });
+        });
+    }
     else if (const auto* write =
                  std::get_if<entry::write_record_action>(&action))
         write_record(name, *write);
--- a/tests/support/fleet_world.hpp
+++ b/tests/support/fleet_world.hpp
@@ -63,6 +63,8 @@
     std::size_t unknown{0};
     std::size_t reads_at_replicas{0};
     std::size_t promotions{0};
+    /// Statements that one host passed on to another.
+    std::size_t forwarded{0};
     /// Last instant at which a write was acknowledged.
     boot_instant last_write{};
     millis longest_gap{0};
@@ -75,7 +77,10 @@
 class fleet_world
 {
 public:
-    fleet_world(std::size_t hosts, std::uint64_t seed);
+    /// `max_connections` is the limit of each database; hosts are spread over
+    /// the failure domains.
+    fleet_world(std::size_t hosts, std::uint64_t seed,
+                std::size_t max_connections = 60, std::size_t domains = 1);
     fleet_world(const fleet_world&) = delete;
     fleet_world& operator=(const fleet_world&) = delete;
 
@@ -101,6 +106,8 @@
                     const std::string& text);
 
     std::string host_name(std::size_t index) const;
+    /// Whether a host runs work on its own connections.
+    bool holds_connections(const std::string& host) const;
     std::size_t host_count() const { return m_hosts.size(); }
     sim_database& database(const std::string& id) { return m_databases.at(id); }
     std::vector<std::string> database_ids() const;
@@ -126,6 +133,13 @@
         std::vector<sim_entry> pending;
     };
 
+    /// The session and operation of a statement that a host passed on.
+    struct passed_on
+    {
+        std::string from;
+        pooling::session_id session{0};
+    };
+
     struct pending_call
     {
         std::function<void(const sql::reply&)> done;
@@ -138,12 +152,20 @@
     /// Runs the step on a host, after its freeze; drops it for a restarted one.
     void on_host(const std::string& name, millis delay, step what);
     bool is_cut(const std::string& a, const std::string& b) const;
+    std::string domain_of(const std::string& name) const;
+    fleet::members members() const;
     void start_host(const std::string& name);
     void tick_host(const std::string& name, std::uint64_t incarnation);
     void tell_members();
     void run(const std::string& name, const entry::entry_actions& actions);
     void run(const std::string& name, const pooling::actions& actions);
     void run(const std::string& name, const entry::control_action& action);
+    void forward(const std::string& name,
+                 const pooling::forward_action& action);
+    void end_forwarding(const std::string& name,
+                        const pooling::end_forwarding_action& action);
+    void reply_forwarded(const std::string& name,
+                         const pooling::forwarded_reply_action& action);
     void open(const std::string& name, const pooling::open_action& action);
     void send(const std::string& name, const pooling::send_action& action);
     void answer_command(const std::string& name, pooling::connection_id id,
@@ -169,6 +191,8 @@
     std::vector<routes::upstream> upstreams() const;
 
     boot_instant m_now{std::chrono::seconds(1000)};
+    std::size_t m_max_connections;
+    std::size_t m_domains;
     std::mt19937_64 m_random;
     std::multimap<boot_instant, step> m_steps;
     std::map<std::string, sim_host> m_hosts;
@@ -176,6 +200,8 @@
     std::map<std::pair<std::string, pooling::connection_id>, sim_connection>
         m_connections;
     std::map<std::pair<std::string, pooling::session_id>, pending_call> m_calls;
+    std::map<std::pair<std::string, pooling::operation_id>, passed_on>
+        m_passed_on;
     std::set<std::pair<std::string, std::string>> m_cuts;
     bool m_store_up{true};
     std::uint64_t m_store_version{10};
