Hosts that don't vote hear of the tables from those that do

Ruled out: longer waits of the feeds (changes and starts cause the calls). Change: voters follow the tables and answer held questions of the others (relay/news_follower, entry_host_news), of their own failure domain first.

--- a/src/plantainward/entry/entry_host.cpp
+++ b/src/plantainward/entry/entry_host.cpp
@@ -148,9 +148,11 @@
 }
 
 void entry_host::on_members(const fleet::members& members,
+                            std::uint64_t version,
                             std::optional<core::boot_instant> read_at,
                             core::boot_instant now)
 {
+    m_members_version = std::max(m_members_version, version);
     m_members = members;
     if (read_at)
         m_members_read_at = std::max(m_members_read_at, *read_at);
--- a/src/plantainward/entry/entry_host.hpp
+++ b/src/plantainward/entry/entry_host.hpp
@@ -2,6 +2,7 @@
 
 #include <plantainward/entry/upstream_directory.hpp>
 #include <plantainward/fleet/connection_plan.hpp>
+#include <plantainward/fleet/fleet_news.hpp>
 #include <plantainward/fleet/fleet_view.hpp>
 #include <plantainward/observe/log_event.hpp>
 #include <plantainward/pooling/pooler.hpp>
@@ -140,11 +141,30 @@
     entry_actions on_record(const std::string& service,
                             const succession::leadership& record,
                             core::boot_instant now);
-    /// Takes all registered hosts. `read_at` tells that the whole list was read
-    /// no earlier; empty when it follows from news of changes.
-    void on_members(const fleet::members& members,
+    /// Takes all registered hosts; versions order the lists. `read_at` tells
+    /// that the whole list was read no earlier; empty when it follows from news
+    /// of changes.
+    void on_members(const fleet::members& members, std::uint64_t version,
                     std::optional<core::boot_instant> read_at,
                     core::boot_instant now);
+
+    /// Whether this host follows the tables itself and passes news on; others
+    /// hear from such hosts.
+    bool follows_tables() const { return m_fleet.is_voter(); }
+    /// Whether calls to the table service work.
+    void set_tables_reachable(bool reachable) { m_reaches_tables = reachable; }
+    fleet::news_versions versions() const;
+    /// Where to ask for news: hosts of the own failure domain come first.
+    std::vector<core::address> news_sources() const;
+    /// News for a host that knows these versions; empty without any, unless it
+    /// must be answered.
+    std::optional<fleet::fleet_news> news_for(const fleet::news_versions& known,
+                                              bool must_answer,
+                                              core::boot_instant now) const;
+    /// Takes what a host that follows the tables tells.
+    entry_actions on_news(const fleet::fleet_news& news,
+                          core::boot_instant now);
+
     /// Where a registered host is reached; empty when there is none.
     std::optional<core::address> address_of(const std::string& host) const;
     entry_actions on_heartbeat(std::string_view bytes, core::boot_instant now);
@@ -208,6 +228,7 @@
                          core::boot_instant now) const;
     void plan_connections();
     bool watches(const std::string& service) const;
+    bool knows_present_tables(core::boot_instant now) const;
     void tell(observe::log_event event, const std::string& service,
               std::string detail) const;
 
@@ -217,6 +238,8 @@
     fleet::fleet_view m_fleet;
     fleet::plan_options m_plan_options;
     fleet::members m_members;
+    std::uint64_t m_members_version{0};
+    bool m_reaches_tables{true};
     /// The list of hosts was whole at this instant or later.
     core::boot_instant m_members_read_at{};
     /// Hosts that told this one of a newer record and wait for its agreement.
--- a/src/plantainward/entry/entry_host_fleet.cpp
+++ b/src/plantainward/entry/entry_host_fleet.cpp
@@ -212,6 +212,9 @@
             if (const auto at = m_fleet.proof_instant(service, version, now))
                 one.prove(version, *at);
         update_primary(one, now, out);
+        // A host without connections to the databases needs no lease.
+        if (!watches(service))
+            continue;
         const auto until = one.lease().valid_until();
         const bool settled =
             one.lease().record().phase == succession::leadership_phase::settled;
@@ -256,7 +259,8 @@
         m_successions.begin(), m_successions.end(), [&](const auto& one) {
             const auto& lease = one.second.lease();
             const auto until = lease.valid_until();
-            return lease.record().phase ==
+            return watches(one.first) &&
+                   lease.record().phase ==
                        succession::leadership_phase::settled &&
                    (!until || *until <= now);
         });
--- a/src/plantainward/entry/upstream_directory.cpp
+++ b/src/plantainward/entry/upstream_directory.cpp
@@ -45,6 +45,15 @@
             remove(id, now);
 }
 
+std::vector<routes::upstream> upstream_directory::registered() const
+{
+    std::vector<routes::upstream> found;
+    for (const auto& [id, one] : m_entries)
+        if (!one.removed)
+            found.push_back(one.what);
+    return found;
+}
+
 std::vector<routes::upstream> upstream_directory::usable(core::boot_instant now)
 {
     std::erase_if(m_entries, [&](const auto& one) {
--- a/src/plantainward/entry/upstream_directory.hpp
+++ b/src/plantainward/entry/upstream_directory.hpp
@@ -32,6 +32,9 @@
     /// gone shown as leaving.
     std::vector<routes::upstream> usable(core::boot_instant now);
 
+    /// The databases whose registration has not ended.
+    std::vector<routes::upstream> registered() const;
+
     std::size_t size() const { return m_entries.size(); }
 
 private:
--- a/src/plantainward/peer/frame.hpp
+++ b/src/plantainward/peer/frame.hpp
@@ -26,7 +26,10 @@
     /// An operation of the sender has ended.
     end_operation,
     /// Asks whether the receiver still answers; answered in kind.
-    probe
+    probe,
+    /// Asks for tables that are newer than those of the sender.
+    fetch_news,
+    news
 };
 
 /// One message on a link; the number matches an answer to its request.
--- a/src/plantainward/relay/relay_gateway.cpp
+++ b/src/plantainward/relay/relay_gateway.cpp
@@ -1,5 +1,6 @@
 #include <plantainward/relay/relay_gateway.hpp>
 
+#include <plantainward/relay/news_message.hpp>
 #include <plantainward/relay/relay_message.hpp>
 
 namespace plantainward::relay
@@ -20,6 +21,9 @@
 // Added to what a statement may take, so that its own time limit comes first.
 constexpr core::millis answer_slack{500};
 
+// Time for which a question for news is held without any.
+constexpr core::millis news_hold{5000};
+
 // Limit of the message that an operation has ended.
 constexpr core::millis end_timeout{1000};
 
@@ -108,6 +112,8 @@
 {
     if (kind == frame_kind::statement)
         return on_statement(bytes, respond);
+    if (kind == frame_kind::fetch_news)
+        return on_fetch(bytes, respond);
     const auto ended =
         kind == frame_kind::end_operation ? decode_end(bytes) : std::nullopt;
     if (!ended)
@@ -136,4 +142,34 @@
     m_events.run(one->origin, one->operation, std::move(one->work));
 }
 
+void relay_gateway::on_fetch(const std::string& bytes,
+                             const peer::frame_responder& respond)
+{
+    const auto known = decode_versions(bytes);
+    if (!known)
+    {
+        m_events.malformed();
+        return respond(frame_kind::refused, {});
+    }
+    const auto now = core::boot_clock::now();
+    held_question one{*known, now, respond};
+    if (!try_answer(one, now))
+        m_held.push_back(std::move(one));
+}
+
+bool relay_gateway::try_answer(const held_question& one, core::boot_instant now)
+{
+    const bool is_late = now - one.since > news_hold;
+    const auto news = m_events.news(one.known, is_late);
+    if (news)
+        one.respond(frame_kind::news, encode(*news));
+    return news.has_value();
+}
+
+void relay_gateway::tick(core::boot_instant now)
+{
+    std::erase_if(m_held,
+                  [&](const auto& one) { return try_answer(one, now); });
+}
+
 } // namespace plantainward::relay
--- a/src/plantainward/relay/relay_gateway.hpp
+++ b/src/plantainward/relay/relay_gateway.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <plantainward/core/boot_clock.hpp>
+#include <plantainward/fleet/fleet_news.hpp>
 #include <plantainward/peer/peer_client.hpp>
 #include <plantainward/peer/peer_server.hpp>
 #include <plantainward/pooling/action.hpp>
@@ -10,6 +12,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 
@@ -31,6 +34,11 @@
         answered;
     /// The answer will not come; true when the statement may have run.
     std::function<void(pooling::session_id, pooling::operation_id, bool)> lost;
+    /// News for a host that knows these versions; empty when there is none,
+    /// and the question is held. `must_answer` ends the holding.
+    std::function<std::optional<fleet::fleet_news>(const fleet::news_versions&,
+                                                   bool must_answer)>
+        news;
     /// A message was malformed, with the last reason.
     std::function<void()> malformed;
 };
@@ -55,14 +63,28 @@
     /// Answers a statement that was not run and that another host may run.
     void refuse(const std::string& host, pooling::operation_id operation);
 
+    /// Answers the hosts that ask for news, as far as there is some.
+    void tick(core::boot_instant now);
+
 private:
+    struct held_question
+    {
+        fleet::news_versions known;
+        core::boot_instant since;
+        peer::frame_responder respond;
+    };
+
     relay_gateway(boost::asio::io_context& io, relay_events events);
     void on_frame(peer::frame_kind kind, const std::string& bytes,
                   const peer::frame_responder& respond);
     void on_statement(const std::string& bytes,
                       const peer::frame_responder& respond);
+    void on_fetch(const std::string& bytes,
+                  const peer::frame_responder& respond);
+    bool try_answer(const held_question& one, core::boot_instant now);
 
     relay_events m_events;
+    std::vector<held_question> m_held;
     std::string m_origin;
     peer::peer_client m_client;
     std::optional<peer::peer_server> m_server;
--- a/src/plantainward/relay/relay_message.cpp
+++ b/src/plantainward/relay/relay_message.cpp
@@ -1,9 +1,7 @@
 #include <plantainward/relay/relay_message.hpp>
 
-#include <plantainward/core/archive.hpp>
-#include <plantainward/core/digest.hpp>
-
-#include <algorithm>
+#include <plantainward/relay/internal/route_archive.hpp>
+#include <plantainward/relay/internal/sealed.hpp>
 
 #include <cereal/types/chrono.hpp>
 #include <cereal/types/map.hpp>
@@ -29,18 +27,6 @@
 
 } // namespace plantainward::sql
 
-namespace plantainward::routes
-{
-
-template <class Archive>
-void serialize(Archive& archive, route& one)
-{
-    archive(one.database, one.service, one.rule, one.timeout, one.target,
-            one.priority, one.max_age);
-}
-
-} // namespace plantainward::routes
-
 namespace plantainward::pooling
 {
 
@@ -81,40 +67,8 @@
     archive(one.origin, one.operation);
 }
 
-namespace
-{
-
-constexpr std::size_t digest_bytes = sizeof(std::uint64_t);
-
-// Damaged lengths would make a decoder reserve memory without bound, so a
-// message carries the hash of its bytes.
-std::string digest_of(std::string_view bytes)
-{
-    auto hash = core::placement_hash("relay message", bytes);
-    std::string made;
-    for (std::size_t i = 0; i < digest_bytes; ++i, hash >>= 8U)
-        made += static_cast<char>(hash & 0xFFU);
-    return made;
-}
-
-template <class Message>
-std::string seal(const Message& one)
-{
-    const auto bytes = core::to_bytes(one);
-    return digest_of(bytes) + bytes;
-}
-
-template <class Message>
-std::optional<Message> unseal(std::string_view bytes, const char* what)
-{
-    const auto body = bytes.substr(std::min(bytes.size(), digest_bytes));
-    if (bytes.substr(0, digest_bytes) != digest_of(body))
-        return core::fail(core::error_kind::bad_request,
-                          std::string("damaged ") + what);
-    return core::from_bytes<Message>(body, what);
-}
-
-} // namespace
+using internal::seal;
+using internal::unseal;
 
 std::string encode(const statement_message& one)
 {
--- a/tests/support/fleet_world.cpp
+++ b/tests/support/fleet_world.cpp
@@ -178,7 +178,7 @@
     const auto members = this->members();
     for (auto& [name, one] : m_hosts)
         if (one.host)
-            one.host->on_members(members, m_now, m_now);
+            one.host->on_members(members, m_store_version, m_now, m_now);
 }
 
 void fleet_world::tick_host(const std::string& name, std::uint64_t incarnation)
@@ -546,7 +546,8 @@
         const auto asked = m_now;
         after(store_delay, [this, name, asked] {
             on_host(name, link_delay, [this, name, asked] {
-                m_hosts.at(name).host->on_members(members(), asked, m_now);
+                m_hosts.at(name).host->on_members(members(), m_store_version,
+                                                  asked, m_now);
             });
         });
     }
