Heartbeats name only services that a host serves; only voters remove lost hosts

Change: such hosts answer claims and send nothing else; others name the services that they serve, and hear of these. Only voters, which hear from all voters, remove now. Test in entry/few_connections, seen red (96 removals in 30 s), green after the mend. Third: few hosts hold the connections also where each could have fewer than five: transactions keep connections, and small pools wait.

--- a/src/plantainward/entry/entry_host.cpp
+++ b/src/plantainward/entry/entry_host.cpp
@@ -171,6 +171,7 @@
 
 void entry_host::plan_connections()
 {
+    bool needs_proofs = false;
     for (const auto& [service, limits] : m_pooler.routing().services)
     {
         auto& holders = m_holders[service];
@@ -181,7 +182,9 @@
             service,
             {holders.share_of(m_identity.name),
              holders.helpers_of(m_identity.name, m_identity.failure_domain)});
+        needs_proofs = needs_proofs || watches(service);
     }
+    m_fleet.set_needs_proofs(needs_proofs);
 }
 
 bool entry_host::watches(const std::string& service) const
--- a/src/plantainward/entry/entry_host_fleet.cpp
+++ b/src/plantainward/entry/entry_host_fleet.cpp
@@ -129,9 +129,18 @@
     made.upstreams_version = m_upstreams_version;
     for (const auto& [service, one] : news)
     {
+        const bool has_record =
+            m_fleet.version_known_by(peer, service) < one.record_version;
+        const bool is_asked = m_awaiting.contains(peer);
+        // Others hear only of services that they or this host serve.
+        const bool is_of_use = m_fleet.is_voter()
+                                   ? m_fleet.is_told_of(peer, service)
+                                   : watches(service);
+        if (!is_of_use && !is_asked && !(m_fleet.is_voter() && has_record))
+            continue;
         auto& told = made.services[fleet::key_of(service)];
         told = one;
-        if (m_fleet.version_known_by(peer, service) < one.record_version)
+        if (has_record)
             told.record = m_successions.at(service).lease().record();
     }
     out.control.emplace_back(heartbeat_action{m_fleet.peers().at(peer).address,
@@ -142,10 +151,13 @@
 {
     m_last_round = now;
     m_fleet.start_round(now);
+    const auto targets = heartbeat_targets(now);
+    if (targets.empty())
+        return;
     std::map<std::string, fleet::service_news> services;
     for (const auto& [service, one] : m_successions)
         services.emplace(service, news_of(service, now));
-    for (const auto& name : heartbeat_targets(now))
+    for (const auto& name : targets)
         send_heartbeat(name, services, out);
     m_awaiting.clear();
 }
@@ -172,7 +184,11 @@
             continue;
         const auto& service = known->second;
         if (news.record)
+        {
             changed = take_record(service, *news.record, now, out) || changed;
+            // The sender doesn't know yet that this host knows the record.
+            m_awaiting.insert(got->host);
+        }
         const bool has_mark =
             news.mark_age_ms >= 0 && peer.confirmed_at != core::boot_instant{};
         if (has_mark)
@@ -182,10 +198,7 @@
     }
     read_what_peers_know(*got, now, out);
     if (changed)
-    {
-        m_awaiting.insert(got->host);
         send_heartbeats(now, out);
-    }
     return out;
 }
 
@@ -232,7 +245,9 @@
 
 void entry_host::remove_lost_members(core::boot_instant now, entry_actions& out)
 {
-    if (now - m_last_removal < removal_interval || !m_knows_records)
+    // Only voters hear from all voters.
+    if (!m_fleet.is_voter() || !m_knows_records ||
+        now - m_last_removal < removal_interval)
         return;
     const auto lost = m_fleet.lost(now);
     if (lost.empty() || rank_for(lost.front(), now) != 0)
--- a/src/plantainward/fleet/connection_plan.hpp
+++ b/src/plantainward/fleet/connection_plan.hpp
@@ -38,7 +38,7 @@
 {
     /// Below this number of connections for each host, few hosts hold all. A
     /// transaction keeps one, so a host with a single one serves one at a time.
-    std::size_t least_share{2};
+    std::size_t least_share{5};
     /// Hosts of each failure domain that hold the connections of one service:
     /// when one is lost the other serves on.
     std::size_t holders_per_domain{2};
--- a/src/plantainward/fleet/fleet_view.cpp
+++ b/src/plantainward/fleet/fleet_view.cpp
@@ -28,6 +28,12 @@
     return news == nullptr ? 0 : news->record_version;
 }
 
+std::uint64_t known_version(const peer_state& peer, const std::string& service)
+{
+    const auto found = peer.known_versions.find(key_of(service));
+    return found == peer.known_versions.end() ? 0 : found->second;
+}
+
 } // namespace
 
 fleet_view::fleet_view(std::string self, std::uint64_t incarnation,
@@ -93,7 +99,7 @@
                 chosen.push_back(name);
         return chosen;
     }
-    if (m_sources.empty())
+    if (m_sources.empty() || !m_needs_proofs)
         return chosen;
     for (const auto& name : m_sources)
         if (chosen.size() < m_options.sources && is_live(m_peers.at(name), now))
@@ -144,7 +150,15 @@
     if (std::pair{one.incarnation, one.sequence} < known)
         return false;
     if (one.incarnation != peer.last.incarnation)
+    {
         peer.confirmed_at = {};
+        peer.known_versions.clear();
+    }
+    for (const auto& [key, news] : one.services)
+    {
+        auto& version = peer.known_versions[key];
+        version = std::max(version, news.record_version);
+    }
     peer.last = one;
     peer.heard_at = now;
     if (one.echo_incarnation != m_incarnation)
@@ -200,17 +214,25 @@
                                            const std::string& service) const
 {
     const auto found = m_peers.find(member);
-    return found == m_peers.end() ? 0 : version_in(found->second.last, service);
+    return found == m_peers.end() ? 0 : known_version(found->second, service);
+}
+
+bool fleet_view::is_told_of(const std::string& member,
+                            const std::string& service) const
+{
+    const auto found = m_peers.find(member);
+    return m_voters.contains(member) || found == m_peers.end() ||
+           news_of(found->second.last, service) != nullptr;
 }
 
 bool fleet_view::is_aware(const peer_state& peer, const std::string& service,
-                          std::uint64_t version, core::boot_instant since) const
+                          std::uint64_t version, core::boot_instant since)
 {
     if (peer.last.sequence == 0)
         return false;
     const bool holds_no_lease =
         !peer.last.knows_records && peer.confirmed_at >= since;
-    return holds_no_lease || version_in(peer.last, service) >= version;
+    return holds_no_lease || known_version(peer, service) >= version;
 }
 
 std::size_t fleet_view::members_aware(const std::string& service,
@@ -237,7 +259,7 @@
 {
     std::vector<std::string> names;
     for (const auto& [name, peer] : m_peers)
-        if (version_in(peer.last, service) < version)
+        if (known_version(peer, service) < version)
             names.push_back(name);
     return names;
 }
--- a/src/plantainward/fleet/fleet_view.hpp
+++ b/src/plantainward/fleet/fleet_view.hpp
@@ -48,6 +48,9 @@
     core::boot_instant confirmed_at{};
     /// First time that the member was listed here.
     core::boot_instant listed_at{};
+    /// Newest record that the member knows of each service; a heartbeat may
+    /// leave out services.
+    std::map<service_key, std::uint64_t> known_versions;
 };
 
 /// The members of the fleet, what they say, and what they confirm.
@@ -66,6 +69,15 @@
     /// Takes the registered members; this host is left out.
     void set_members(const members& all, core::boot_instant now);
 
+    /// Whether this host needs proofs of records. One that does not, and does
+    /// not vote, sends heartbeats only when it is asked.
+    void set_needs_proofs(bool needs) { m_needs_proofs = needs; }
+
+    /// Whether a member is told of a service: voters of all, others of those
+    /// that they name.
+    bool is_told_of(const std::string& member,
+                    const std::string& service) const;
+
     /// Starts a round of heartbeats; the same sequence goes to all members.
     void start_round(core::boot_instant now);
 
@@ -150,8 +162,8 @@
     };
 
     void choose_voters();
-    bool is_aware(const peer_state& peer, const std::string& service,
-                  std::uint64_t version, core::boot_instant since) const;
+    static bool is_aware(const peer_state& peer, const std::string& service,
+                         std::uint64_t version, core::boot_instant since);
     bool is_live(const peer_state& peer, core::boot_instant now) const;
     std::optional<core::boot_instant> sent_at(std::uint32_t sequence) const;
 
@@ -163,6 +175,7 @@
     /// Voters in the order in which this host asks them.
     std::vector<std::string> m_sources;
     std::uint32_t m_sequence{0};
+    bool m_needs_proofs{true};
     std::deque<sent_round> m_rounds;
 };
 
--- a/tests/entry/few_connections_tests.cpp
+++ b/tests/entry/few_connections_tests.cpp
@@ -48,6 +48,27 @@
     CHECK(world.history().forwarded >= world.others.size() * 2);
 }
 
+TEST(few_connections, hosts_without_connections_send_no_heartbeats)
+{
+    // Load: control that grows with what a host serves, not with the fleet.
+    crowded_world world;
+    const auto before = world.heartbeats();
+    world.run_for(millis(3000));
+    for (const auto& name : world.others)
+    {
+        const bool is_voter = world.host(name).follows_tables();
+        const auto sent = world.heartbeats().at(name) - before.at(name);
+        CHECK_TEXT(is_voter || sent == 0, name.c_str());
+    }
+}
+
+TEST(few_connections, a_host_that_hears_from_nobody_removes_nobody)
+{
+    crowded_world world;
+    world.run_for(millis(30'000));
+    LONGS_EQUAL(0, world.history().removed_members);
+}
+
 TEST(few_connections, a_crashed_primary_is_replaced_within_two_seconds)
 {
     crowded_world world;
--- a/tests/support/fleet_world.cpp
+++ b/tests/support/fleet_world.cpp
@@ -522,6 +522,7 @@
     if (const auto* beat = std::get_if<entry::heartbeat_action>(&action))
     {
         const auto to = beat->where.ip;
+        ++m_heartbeats[name];
         if (!is_cut(name, to))
             on_host(to, link_delay, [this, to, bytes = beat->bytes] {
                 run(to, m_hosts.at(to).host->on_heartbeat(bytes, m_now));
@@ -539,6 +540,8 @@
             });
         });
     }
+    else if (std::holds_alternative<entry::remove_member_action>(action))
+        ++m_history.removed_members;
     else if (std::holds_alternative<entry::read_members_action>(action))
     {
         if (!m_store_up || is_cut(name, store_name))
--- a/tests/support/fleet_world.hpp
+++ b/tests/support/fleet_world.hpp
@@ -63,6 +63,8 @@
     std::size_t unknown{0};
     std::size_t reads_at_replicas{0};
     std::size_t promotions{0};
+    /// Registrations of hosts that a host asked to remove.
+    std::size_t removed_members{0};
     /// Statements that one host passed on to another.
     std::size_t forwarded{0};
     /// Last instant at which a write was acknowledged.
@@ -115,6 +117,11 @@
     const std::string& leader() const { return m_leader; }
     entry::entry_host& host(const std::string& name);
     fleet_history& history() { return m_history; }
+    /// Heartbeats that each host has sent.
+    const std::map<std::string, std::size_t>& heartbeats() const
+    {
+        return m_heartbeats;
+    }
     std::mt19937_64& random() { return m_random; }
 
 private:
@@ -213,6 +220,7 @@
     pooling::session_id m_last_session{0};
     std::uint64_t m_last_value{0};
     fleet_history m_history;
+    std::map<std::string, std::size_t> m_heartbeats;
 };
 
 } // namespace support
