A busy database is asked less at a time; statements in time go first

Cause: while replicas lag by seconds the primary's three slots take all work. Change: a refusal halves the statements that a host sends to the database at a time and pauses it by 15 ms, successes raise the number again; the head of the queue goes first, those that can still meet their objective before the others; a replica that lacks a log point is left for 80 ms, doubled up to 640 ms. Tests of the three loads in pooling/pooler_tests (green only, not seen red).

--- a/src/plantainward/pooling/pooler.cpp
+++ b/src/plantainward/pooling/pooler.cpp
@@ -403,20 +403,33 @@
         who.id);
 }
 
+// Under overload a queue that is served in order makes all late; so statements
+// that can still meet their objective go first.
 void pooler::serve_queue()
 {
     const auto waiting = m_queue;
-    for (const auto id : waiting)
+    for (const bool in_time : {true, false})
     {
-        const auto found = m_sessions.find(id);
-        if (found == m_sessions.end() || !found->second.current ||
-            !is_waiting(*found->second.current))
-            continue;
-        if (try_start(found->second))
-            std::erase(m_queue, id);
+        for (const auto id : waiting)
+        {
+            const auto found = m_sessions.find(id);
+            if (found == m_sessions.end() || !found->second.current ||
+                !is_waiting(*found->second.current) ||
+                meets_target(found->second) != in_time)
+                continue;
+            if (try_start(found->second))
+                std::erase(m_queue, id);
+        }
     }
 }
 
+bool pooler::meets_target(const session& who) const
+{
+    const auto began =
+        who.transaction ? who.transaction->began : who.current->received;
+    return m_now - began < who.current->route.target;
+}
+
 bool pooler::try_start(session& who)
 {
     auto& what = *who.current;
--- a/src/plantainward/pooling/pooler.hpp
+++ b/src/plantainward/pooling/pooler.hpp
@@ -187,6 +187,7 @@
     // The queue.
     void wait(session& who);
     void serve_queue();
+    bool meets_target(const session& who) const;
     bool try_start(session& who);
     void give_up_late_work();
 
--- a/src/plantainward/pooling/pooler_connections.cpp
+++ b/src/plantainward/pooling/pooler_connections.cpp
@@ -177,9 +177,16 @@
 {
     auto& what = *who.current;
     what.connection = 0;
-    what.excluded.insert(upstream);
     auto& databases = m_services[what.route.service].upstreams;
     const auto asked = databases.find(upstream);
+    if (why == sql::refusal::busy && asked != databases.end())
+    {
+        // The pool holds back all statements, so this one keeps its place.
+        asked->second.was_busy(m_now);
+        --what.attempts;
+    }
+    else
+        what.excluded.insert(upstream);
     if (why == sql::refusal::behind && what.after && asked != databases.end())
         asked->second.was_behind(*what.after, m_now);
     if (why == sql::refusal::malformed || why == sql::refusal::failed)
@@ -324,6 +331,8 @@
     auto& service = *service_of(one.id);
     pool_of(one.id)->took(
         std::chrono::duration_cast<core::millis>(m_now - one.sent_at));
+    if (what.after)
+        pool_of(one.id)->kept_up();
     if (what.at_primary && answer.position)
         service.marks.add({one.sent_at, *answer.position});
     const bool committed =
--- a/src/plantainward/pooling/upstream_pool.cpp
+++ b/src/plantainward/pooling/upstream_pool.cpp
@@ -29,9 +29,18 @@
 // Failures in a row after which the database is doubted.
 constexpr std::size_t doubt_failures = 2;
 
-// For how long a database that lacked a log point is taken to lack it still;
-// about the lag of a replica that follows well.
-constexpr core::millis behind_memory{80};
+// For how long a database that lacked a log point is taken to lack it still:
+// about the lag of a replica that follows well, and twice as long each time
+// that it lacks one again, for replicas that lag by seconds.
+constexpr core::millis least_behind_memory{80};
+constexpr core::millis most_behind_memory{640};
+
+// Pause after the database was busy, unless one of our statements ends there
+// before; about the time of one statement.
+constexpr core::millis busy_pause{15};
+
+// Part of the statements at a time that remains after the database was busy.
+constexpr double busy_decrease = 0.5;
 
 // Weight of one statement in the expected time.
 constexpr double time_weight = 0.1;
@@ -79,6 +88,11 @@
 
 bool upstream_pool::has_room(core::boot_instant now) const
 {
+    if (now < m_no_send_before)
+        return false;
+    if (m_send_limit > 0 &&
+        static_cast<double>(busy() + 1) > std::max(1.0, m_send_limit))
+        return false;
     const bool has_idle = std::any_of(
         m_connections.begin(), m_connections.end(), [](const auto& one) {
             return one.second.stage == connection_stage::idle;
@@ -122,6 +136,13 @@
     m_no_open_before = now + crowded_pause;
 }
 
+void upstream_pool::was_busy(core::boot_instant now)
+{
+    const auto sent = static_cast<double>(busy());
+    m_send_limit = std::max(1.0, std::max(sent, m_send_limit) * busy_decrease);
+    m_no_send_before = now + busy_pause;
+}
+
 std::optional<core::boot_instant> upstream_pool::oldest_unanswered() const
 {
     std::optional<core::boot_instant> oldest;
@@ -174,18 +195,25 @@
 {
     m_lacked_point = point;
     m_lacked_at = now;
+    m_behind_memory = std::clamp(m_behind_memory * 2, least_behind_memory,
+                                 most_behind_memory);
 }
 
 bool upstream_pool::is_behind(const upstream::log_point& point,
                               core::boot_instant now) const
 {
-    return now - m_lacked_at < behind_memory && point >= m_lacked_point;
+    return now - m_lacked_at < m_behind_memory && point >= m_lacked_point;
 }
 
 void upstream_pool::took(core::millis time)
 {
     m_expected_ms +=
         time_weight * (static_cast<double>(time.count()) - m_expected_ms);
+    m_no_send_before = {};
+    if (m_send_limit > 0)
+        m_send_limit += 1 / m_send_limit;
+    if (m_send_limit > static_cast<double>(m_share))
+        m_send_limit = 0;
 }
 
 } // namespace plantainward::pooling
--- a/src/plantainward/pooling/upstream_pool.hpp
+++ b/src/plantainward/pooling/upstream_pool.hpp
@@ -46,6 +46,9 @@
     void failed(core::boot_instant now);
     /// The database has no room for a connection of ours.
     void crowded(core::boot_instant now);
+    /// All slots of the database were taken; fewer statements are sent to it
+    /// at a time, one of them after a pause.
+    void was_busy(core::boot_instant now);
 
     /// Whether the database seems not to answer this host.
     bool is_doubted(core::boot_instant now) const;
@@ -62,6 +65,8 @@
 
     /// The database lacked this log point.
     void was_behind(const upstream::log_point& point, core::boot_instant now);
+    /// It has run a read that needed a log point.
+    void kept_up() { m_behind_memory = {}; }
     /// Whether it has lately lacked this point or an earlier one.
     bool is_behind(const upstream::log_point& point,
                    core::boot_instant now) const;
@@ -84,6 +89,11 @@
     upstream::log_point m_known_point;
     upstream::log_point m_lacked_point;
     core::boot_instant m_lacked_at{};
+    /// For how long it is taken to lack the point still.
+    core::millis m_behind_memory{0};
+    /// Statements that may run at a time; 0: as many as there are connections.
+    double m_send_limit{0};
+    core::boot_instant m_no_send_before{};
     double m_expected_ms{15};
 };
 
--- a/tests/pooling/pooler_tests.cpp
+++ b/tests/pooling/pooler_tests.cpp
@@ -454,3 +454,73 @@
     c.take(c.pool.tick(c.now));
     LONGS_EQUAL(id, c.closed.back());
 }
+
+TEST(pooler, a_busy_database_is_not_asked_by_all_that_wait)
+{
+    // Load: the replicas lag, so the primary has to run all statements.
+    c.pool.set_plan("ledger", {20, {}});
+    for (session_id id = 1; id <= 20; ++id)
+    {
+        c.open_session(id, "cards");
+        c.ask(id, statement_kind::read, "READ a");
+    }
+    const auto opened = c.opened;
+    for (const auto& one : opened)
+        c.take(c.pool.on_opened(one.connection, c.now));
+    for (const auto& one : opened)
+        c.fail(one.connection, refusal::busy);
+    const auto before = c.sent.size();
+    for (int i = 0; i < 5; ++i)
+    {
+        c.now += millis(20);
+        c.take(c.pool.tick(c.now));
+        if (c.sent.size() > before + static_cast<std::size_t>(i))
+            c.fail(c.sent.back().connection, refusal::busy);
+    }
+    CHECK(c.sent.size() > before);
+    CHECK(c.sent.size() <= before + 5);
+}
+
+TEST(pooler, statements_in_time_go_before_those_that_are_late_already)
+{
+    // Load: more work than the slots of the primary can run in time.
+    c.pool.set_plan("ledger", {1, {}});
+    c.open_session(1, "cards");
+    c.ask(1, statement_kind::read, "READ a");
+    const auto id = c.let_open();
+    c.open_session(2, "cards");
+    c.ask(2, statement_kind::read, "READ late");
+    c.now += millis(260);
+    c.open_session(3, "cards");
+    c.ask(3, statement_kind::read, "READ in time");
+    c.succeed(id);
+    STRCMP_EQUAL("READ in time", c.last_command().text.c_str());
+    c.succeed(id);
+    STRCMP_EQUAL("READ late", c.last_command().text.c_str());
+}
+
+TEST(pooler, a_replica_that_lags_for_long_is_asked_ever_more_rarely)
+{
+    // Load: replicas lag by seconds; each read would be refused there first.
+    c.pool.add_mark("ledger", {c.now - millis(200), {1, 42}});
+    int asked = 0;
+    for (session_id id = 1; id <= 100; ++id)
+    {
+        c.now += millis(10);
+        c.pool.add_mark("ledger", {c.now - millis(200), {1, 42 + id}});
+        c.open_session(id, "specs");
+        c.ask(id, statement_kind::read, "READ a");
+        if (c.opened.back().where.id == "r" && c.opened.size() == id)
+            c.let_open();
+        while (!c.sent.empty() && c.sent.back().commands.back().after)
+        {
+            ++asked;
+            const auto one = c.sent.back().connection;
+            c.sent.clear();
+            c.fail(one, refusal::behind);
+        }
+        c.take(c.pool.close_session(id, c.now));
+    }
+    CHECK(asked >= 1);
+    CHECK(asked <= 5);
+}
