Lost answers aren't waited for; statements go where the primary is reached

Change: a read or an open transaction leaves a connection that three later statements have overtaken and that is 300 ms old, or whose database is silent; commits are waited for. A host that doubts a proved primary passes its statements to up to four others, and sends those of others back. A statement of a transaction is sent again 15 ms after a busy answer that left it open. Lines of waiting statements tell why. Tests: pooling/forwarding, pooling/pooler_tests (green only).

--- a/src/plantainward/entry/entry_host.cpp
+++ b/src/plantainward/entry/entry_host.cpp
@@ -181,7 +181,8 @@
         m_pooler.set_plan(
             service,
             {holders.share_of(m_identity.name),
-             holders.helpers_of(m_identity.name, m_identity.failure_domain)});
+             holders.helpers_of(m_identity.name, m_identity.failure_domain),
+             holders.fallbacks_of(m_identity.name, m_members)});
         needs_proofs = needs_proofs || watches(service);
     }
     m_fleet.set_needs_proofs(needs_proofs);
--- a/src/plantainward/fleet/connection_plan.cpp
+++ b/src/plantainward/fleet/connection_plan.cpp
@@ -89,6 +89,23 @@
     return own;
 }
 
+std::vector<std::string>
+service_holders::fallbacks_of(const std::string& host,
+                              const members& hosts) const
+{
+    // Enough to meet both sides of a cut through the middle of the fleet.
+    constexpr std::size_t most = 4;
+    std::vector<std::string> names;
+    for (const auto& [name, one] : hosts)
+        if (name != host && is_holder(name))
+            names.push_back(name);
+    std::sort(names.begin(), names.end(), [&](const auto& a, const auto& b) {
+        return core::placement_hash(host, a) > core::placement_hash(host, b);
+    });
+    names.resize(std::min(names.size(), most));
+    return names;
+}
+
 service_holders divide_connections(std::string_view service, std::size_t limit,
                                    const members& all,
                                    const std::set<std::string>& voters,
@@ -99,7 +116,9 @@
                                                   options.divided_part);
     const auto hosts = std::max<std::size_t>(1, all.size());
     made.share = std::max<std::size_t>(1, divided / hosts);
-    if (divided / hosts >= options.least_share)
+    const auto least = voters.size() < all.size() ? options.least_share_of_many
+                                                  : options.least_share;
+    if (divided / hosts >= least)
         return made;
     std::map<std::string, std::vector<std::string>> domains;
     for (const auto& [name, one] : all)
--- a/src/plantainward/fleet/connection_plan.hpp
+++ b/src/plantainward/fleet/connection_plan.hpp
@@ -38,7 +38,10 @@
 {
     /// Below this number of connections for each host, few hosts hold all. A
     /// transaction keeps one, so a host with a single one serves one at a time.
-    std::size_t least_share{5};
+    std::size_t least_share{2};
+    /// The same in a fleet where not all hosts vote: each holder needs proofs
+    /// of the primaries, and small pools wait where large ones don't.
+    std::size_t least_share_of_many{5};
     /// Hosts of each failure domain that hold the connections of one service:
     /// when one is lost the other serves on.
     std::size_t holders_per_domain{2};
@@ -73,6 +76,10 @@
     /// preference: of its own failure domain, then of others.
     std::vector<std::string> helpers_of(const std::string& host,
                                         const std::string& domain) const;
+    /// A few other holders, of any failure domain, that may reach a database
+    /// that a holder does not.
+    std::vector<std::string> fallbacks_of(const std::string& host,
+                                          const members& hosts) const;
 };
 
 /// Divides the connections of one service; every host that knows the same
--- a/src/plantainward/pooling/connection.hpp
+++ b/src/plantainward/pooling/connection.hpp
@@ -50,6 +50,8 @@
     /// One of the commands of the present stage failed.
     std::optional<sql::refusal> setup_error;
     core::boot_instant sent_at{};
+    /// Statements that were sent after the present one and answered before it.
+    std::size_t overtaken{0};
     core::boot_instant last_used{};
 };
 
--- a/src/plantainward/pooling/pooler.cpp
+++ b/src/plantainward/pooling/pooler.cpp
@@ -324,6 +324,8 @@
     if (m_isolated && !has_helpers)
         return refuse_here(
             who, "this host can't prove which database is the primary");
+    if (who.origin && is_cut_from_primary(*who.current))
+        return refuse_here(who, "this host does not reach the primary");
     wait(who);
 }
 
@@ -391,7 +393,9 @@
     who.current->connection = 0;
     if (std::find(m_queue.begin(), m_queue.end(), who.id) != m_queue.end())
         return;
-    note(decision_kind::queued, who, {}, {});
+    note(decision_kind::queued, who,
+         m_services[who.current->route.service].primary,
+         why_not_placed(*who.current));
     const auto before = [&](session_id a, session_id b) {
         const auto& first = *m_sessions.at(a).current;
         const auto& second = *m_sessions.at(b).current;
@@ -405,6 +409,24 @@
 
 // Under overload a queue that is served in order makes all late; so statements
 // that can still meet their objective go first.
+std::string pooler::why_not_placed(const work& what)
+{
+    const auto& service = m_services[what.route.service];
+    if (!service.plan.helpers.empty())
+        return "no holder of connections is reached";
+    if (!service.has_primary(m_now))
+        return "no primary is proved";
+    const auto found = service.upstreams.find(service.primary);
+    if (found == service.upstreams.end())
+        return "the primary is not registered";
+    const auto& pool = found->second;
+    if (pool.is_doubted(m_now))
+        return "the primary does not answer";
+    return "the primary has no room: " + std::to_string(pool.busy()) +
+           " statements, " + std::to_string(pool.connections().size()) +
+           " connections of " + std::to_string(pool.share());
+}
+
 void pooler::serve_queue()
 {
     const auto waiting = m_queue;
@@ -437,11 +459,12 @@
     if (what.attempts >= most_attempts)
         return false;
     if (!who.origin && !service.plan.helpers.empty())
-        return try_forward(who);
+        return try_forward(who, service.plan.helpers);
     const auto chosen =
         place(service, what, who, m_options.failure_domain, m_now);
     if (!chosen)
-        return false;
+        return !who.origin && is_cut_from_primary(what) &&
+               try_forward(who, service.plan.fallbacks);
     ++what.attempts;
     what.after = chosen->after;
     what.at_primary = service.is_primary(chosen->upstream, m_now);
@@ -529,7 +552,10 @@
             what.excluded_hosts.clear();
         }
     }
+    send_again();
     drop_silent();
+    leave_lost_answers();
+    send_remote_elsewhere();
     drop_surplus();
     serve_queue();
     probe_silent();
--- a/src/plantainward/pooling/pooler.hpp
+++ b/src/plantainward/pooling/pooler.hpp
@@ -176,7 +176,9 @@
     void fail_transaction(session& who, bool told);
 
     // Work that other hosts run for this one, and this one for others.
-    bool try_forward(session& who);
+    bool try_forward(session& who, const std::vector<std::string>& hosts);
+    bool is_cut_from_primary(const work& what);
+    void send_remote_elsewhere();
     void forward(session& who, forwarding to);
     void forwarded_done(session& who, forwarded_reply answer);
     void end_forwarding(session& who);
@@ -186,6 +188,7 @@
 
     // The queue.
     void wait(session& who);
+    std::string why_not_placed(const work& what);
     void serve_queue();
     bool meets_target(const session& who) const;
     bool try_start(session& who);
@@ -208,8 +211,10 @@
     void setup_ended(connection& one, const sql::command_answer& last);
     void main_ended(connection& one, sql::command_answer answer);
     void main_failed(connection& one, session& who, sql::command_answer answer);
+    void send_again();
     void learn(connection& one, const sql::command_answer& answer);
     void drop_silent();
+    void leave_lost_answers();
     void probe_silent();
     void drop_surplus();
     void note(decision_kind kind, const session& who,
@@ -235,6 +240,9 @@
     std::vector<session_id> m_ended_remote;
     /// Hosts that get no new work before these instants.
     std::map<std::string, core::boot_instant> m_avoided_hosts;
+    /// The same for the work of one service, by service and host.
+    std::map<std::pair<std::string, std::string>, core::boot_instant>
+        m_avoided_for;
     connection_id m_last_connection{0};
     core::boot_instant m_now{};
     actions m_out;
--- a/src/plantainward/pooling/pooler_connections.cpp
+++ b/src/plantainward/pooling/pooler_connections.cpp
@@ -13,6 +13,10 @@
 // Time for the answer to a command that occupies no slot at a database.
 constexpr core::millis own_answer_patience{1000};
 
+// Pause before a statement of a transaction is sent again to a busy database;
+// about the time of one statement.
+constexpr core::millis pinned_busy_pause{15};
+
 } // namespace
 
 connection* pooler::find(connection_id id)
@@ -71,6 +75,7 @@
     if (commands.empty())
         return send_main(one, who);
     one.stage = connection_stage::preparing;
+    one.overtaken = 0;
     one.setup_error.reset();
     one.unanswered = commands.size();
     one.sent_at = m_now;
@@ -104,6 +109,7 @@
     what.at_primary = service.is_primary(one.upstream, m_now);
     one.stage = connection_stage::running;
     one.unanswered = 1;
+    one.overtaken = 0;
     one.sent_at = m_now;
     m_out.emplace_back(send_action{one.id, {main_command(who)}});
 }
@@ -329,6 +335,7 @@
     if (answer.error)
         return main_failed(one, who, std::move(answer));
     auto& service = *service_of(one.id);
+    pool_of(one.id)->overtake(one.sent_at);
     pool_of(one.id)->took(
         std::chrono::duration_cast<core::millis>(m_now - one.sent_at));
     if (what.after)
@@ -378,6 +385,15 @@
         release(one, answer.state != sql::transaction_state::idle);
         return retry_elsewhere(who, upstream, why);
     }
+    // A busy database has not run it, so the transaction can go on.
+    if (why == sql::refusal::busy &&
+        answer.state == sql::transaction_state::open)
+    {
+        pool_of(one.id)->was_busy(m_now);
+        one.stage = connection_stage::pinned;
+        what.again_at = m_now + pinned_busy_pause;
+        return;
+    }
     if (who.transaction)
         who.transaction->connection = 0;
     what.connection = 0;
@@ -386,6 +402,19 @@
     serve_queue();
 }
 
+void pooler::send_again()
+{
+    for (auto& [id, who] : m_sessions)
+    {
+        if (!who.current || !who.current->again_at ||
+            m_now < *who.current->again_at)
+            continue;
+        who.current->again_at.reset();
+        if (auto* one = find(who.current->connection))
+            send_main(*one, who);
+    }
+}
+
 // A connection that owes the answer to a question of the proxy's own is silent
 // for good when other connections to the database go on.
 void pooler::drop_silent()
@@ -429,6 +458,39 @@
         drop(id);
 }
 
+// Reads and open transactions don't wait for an answer that is lost: a read
+// runs elsewhere, the caller of a transaction can begin again in time. What may
+// have been committed is waited for.
+void pooler::leave_lost_answers()
+{
+    std::vector<connection_id> lost;
+    for (auto& [name, service] : m_services)
+        for (auto& [id, pool] : service.upstreams)
+        {
+            const bool is_silent = pool.is_doubted(m_now);
+            for (const auto number : pool.without_answer(m_now))
+            {
+                const auto& one = *pool.find(number);
+                const auto user = m_sessions.find(one.user);
+                const bool works = user != m_sessions.end() &&
+                                   user->second.current &&
+                                   user->second.current->connection == number;
+                const bool may_have_committed =
+                    one.stage == connection_stage::running && works &&
+                    user->second.current->is_final;
+                if (!works || may_have_committed)
+                    continue;
+                lost.push_back(number);
+                if (is_silent)
+                    pool.left_silent();
+            }
+        }
+    for (const auto id : lost)
+        drop(id);
+    if (!lost.empty())
+        serve_queue();
+}
+
 void pooler::probe_silent()
 {
     for (auto& [name, service] : m_services)
--- a/src/plantainward/pooling/pooler_forwarding.cpp
+++ b/src/plantainward/pooling/pooler_forwarding.cpp
@@ -12,10 +12,14 @@
 namespace
 {
 
-// For how long a host that was silent, stopping or without proof of a primary
-// gets no new work: about the time until a second look can differ.
+// For how long a host that was lost gets no new work: about the time after
+// which its silence is noticed again.
 constexpr core::millis avoid_time{500};
 
+// The same for a host that can't run the work of a service now; a replaced
+// primary may be in use again by then.
+constexpr core::millis elsewhere_time{150};
+
 // Ids of sessions of other hosts lie above those of callers' connections.
 constexpr session_id remote_ids = session_id{1} << 63;
 
@@ -60,15 +64,28 @@
 
 } // namespace
 
-bool pooler::try_forward(session& who)
+// Whether a primary is proved that other hosts may reach and this one doesn't.
+bool pooler::is_cut_from_primary(const work& what)
+{
+    const auto& service = m_services[what.route.service];
+    if (!what.needs_primary || !service.has_primary(m_now))
+        return false;
+    const auto found = service.upstreams.find(service.primary);
+    return found != service.upstreams.end() && found->second.is_doubted(m_now);
+}
+
+bool pooler::try_forward(session& who, const std::vector<std::string>& hosts)
 {
     auto& what = *who.current;
-    for (const auto& host : m_services[what.route.service].plan.helpers)
+    const auto is_avoided = [&](const auto& avoided, const auto& key) {
+        const auto found = avoided.find(key);
+        return found != avoided.end() && m_now < found->second;
+    };
+    for (const auto& host : hosts)
     {
-        if (what.excluded_hosts.contains(host))
-            continue;
-        const auto avoided = m_avoided_hosts.find(host);
-        if (avoided != m_avoided_hosts.end() && m_now < avoided->second)
+        if (what.excluded_hosts.contains(host) ||
+            is_avoided(m_avoided_hosts, host) ||
+            is_avoided(m_avoided_for, std::pair(what.route.service, host)))
             continue;
         ++what.attempts;
         forward(who, {host, ++m_last_operation});
@@ -117,7 +134,7 @@
     }
     const auto host = what.forwarded->host;
     note(decision_kind::retried, who, host, answer.reply.text);
-    m_avoided_hosts[host] = now + avoid_time;
+    m_avoided_for[{what.route.service, host}] = now + elsewhere_time;
     what.excluded_hosts.insert(host);
     what.forwarded.reset();
     if (who.transaction)
@@ -236,6 +253,19 @@
     reply_to_host(who, std::move(made));
 }
 
+// Statements of other hosts that wait for a primary which this host no longer
+// reaches go back, since another host may reach it.
+void pooler::send_remote_elsewhere()
+{
+    const auto waiting = m_queue;
+    for (const auto id : waiting)
+    {
+        auto& who = m_sessions.at(id);
+        if (who.origin && is_cut_from_primary(*who.current))
+            refuse_here(who, "this host does not reach the primary");
+    }
+}
+
 void pooler::reply_to_host(session& who, forwarded_reply answer)
 {
     if (!who.transaction || who.failed)
--- a/src/plantainward/pooling/service_view.hpp
+++ b/src/plantainward/pooling/service_view.hpp
@@ -21,6 +21,8 @@
     /// Hosts that run this host's work, in order of preference; empty when it
     /// runs the work itself.
     std::vector<std::string> helpers;
+    /// Hosts that may reach a primary that this host does not.
+    std::vector<std::string> fallbacks;
 };
 
 /// The databases of one service and what is proved of them.
--- a/src/plantainward/pooling/session.hpp
+++ b/src/plantainward/pooling/session.hpp
@@ -60,6 +60,9 @@
     std::set<std::string> excluded_hosts;
     /// Connection that runs it; 0 while it waits or runs at another host.
     connection_id connection{0};
+    /// When it is sent again on its connection, which was told that the
+    /// database is busy.
+    std::optional<core::boot_instant> again_at;
     /// Where it runs, if another host runs it.
     std::optional<forwarding> forwarded;
     /// Log point that the database must have before it begins.
--- a/src/plantainward/pooling/upstream_pool.cpp
+++ b/src/plantainward/pooling/upstream_pool.cpp
@@ -42,6 +42,14 @@
 // Part of the statements at a time that remains after the database was busy.
 constexpr double busy_decrease = 0.5;
 
+// Age of a statement from which its answer may be taken for lost: several times
+// the slowest ordinary statement (45 ms), and early enough to run it again
+// within the shortest deadline (1,000 ms).
+constexpr core::millis lost_answer_age{300};
+
+// Statements that must have overtaken it.
+constexpr std::size_t lost_answer_overtaken = 3;
+
 // Weight of one statement in the expected time.
 constexpr double time_weight = 0.1;
 
@@ -114,6 +122,7 @@
 {
     m_heard_at = now;
     m_failures = 0;
+    m_left_silent = false;
     m_first_failure.reset();
     m_no_open_before = {};
 }
@@ -154,7 +163,7 @@
 
 bool upstream_pool::is_doubted(core::boot_instant now) const
 {
-    if (m_failures >= doubt_failures)
+    if (m_failures >= doubt_failures || m_left_silent)
         return true;
     const auto oldest = oldest_unanswered();
     return oldest && now - std::max(*oldest, m_heard_at) > doubt_after;
@@ -169,6 +178,8 @@
         });
     if (probes || now < m_no_open_before)
         return false;
+    if (m_left_silent)
+        return true;
     const auto oldest = oldest_unanswered();
     if (oldest)
         return now - std::max(*oldest, m_heard_at) > probe_after;
@@ -205,6 +216,28 @@
     return now - m_lacked_at < m_behind_memory && point >= m_lacked_point;
 }
 
+void upstream_pool::overtake(core::boot_instant sent)
+{
+    for (auto& [id, one] : m_connections)
+        if (one.unanswered > 0 && one.sent_at < sent)
+            ++one.overtaken;
+}
+
+std::vector<connection_id>
+upstream_pool::without_answer(core::boot_instant now) const
+{
+    const bool is_silent = is_doubted(now);
+    std::vector<connection_id> found;
+    for (const auto& [id, one] : m_connections)
+    {
+        if (one.unanswered == 0 || now - one.sent_at < lost_answer_age)
+            continue;
+        if (is_silent || one.overtaken >= lost_answer_overtaken)
+            found.push_back(id);
+    }
+    return found;
+}
+
 void upstream_pool::took(core::millis time)
 {
     m_expected_ms +=
--- a/src/plantainward/pooling/upstream_pool.hpp
+++ b/src/plantainward/pooling/upstream_pool.hpp
@@ -26,6 +26,10 @@
     std::size_t share() const { return m_share; }
 
     std::map<connection_id, connection>& connections() { return m_connections; }
+    const std::map<connection_id, connection>& connections() const
+    {
+        return m_connections;
+    }
     connection* find(connection_id id);
 
     /// An idle connection, if possible one that holds these values.
@@ -50,6 +54,10 @@
     /// at a time, one of them after a pause.
     void was_busy(core::boot_instant now);
 
+    /// A connection was given up because the database was silent; it is doubted
+    /// until it is heard again.
+    void left_silent() { m_left_silent = true; }
+
     /// Whether the database seems not to answer this host.
     bool is_doubted(core::boot_instant now) const;
 
@@ -71,6 +79,13 @@
     bool is_behind(const upstream::log_point& point,
                    core::boot_instant now) const;
 
+    /// A statement that was sent at this instant has been answered.
+    void overtake(core::boot_instant sent);
+
+    /// Connections whose answer seems to be lost: others were answered
+    /// meanwhile, or the database is silent.
+    std::vector<connection_id> without_answer(core::boot_instant now) const;
+
     /// Takes how long a statement took.
     void took(core::millis time);
     /// Expected time of one statement, in milliseconds.
@@ -85,6 +100,7 @@
     core::boot_instant m_heard_at{};
     std::optional<core::boot_instant> m_first_failure;
     std::size_t m_failures{0};
+    bool m_left_silent{false};
     core::boot_instant m_no_open_before{};
     upstream::log_point m_known_point;
     upstream::log_point m_lacked_point;
--- a/tests/fleet/connection_plan_tests.cpp
+++ b/tests/fleet/connection_plan_tests.cpp
@@ -49,12 +49,24 @@
 TEST(connection_plan, hosts_that_fit_hold_their_own_connections)
 {
     const auto all = hosts(15, 3);
-    const auto made = divide_connections("ledger", 47, all, {}, {});
+    const auto made =
+        divide_connections("ledger", 47, all, first_names(all, 15), {});
     CHECK(made.all);
     LONGS_EQUAL(2, made.share);
     CHECK(made.helpers_of("host-1", "domain-1").empty());
 }
 
+TEST(connection_plan, many_hosts_share_larger_pools)
+{
+    // Load: 138 hosts before databases with 366 connections, two for each;
+    // transactions keep both, and other work of the host waits.
+    const auto all = hosts(138, 5);
+    const auto made =
+        divide_connections("ledger", 366, all, first_names(all, 15), {});
+    CHECK_FALSE(made.all);
+    CHECK(made.share >= 30);
+}
+
 TEST(connection_plan, few_hosts_of_each_domain_hold_what_is_too_few_for_all)
 {
     // Load: 121 hosts before databases with 70 connections each.
--- a/tests/pooling/forwarding_tests.cpp
+++ b/tests/pooling/forwarding_tests.cpp
@@ -39,9 +39,9 @@
             pool.set_upstreams({{"p", "ledger", {"p", 1}, "a", false, true, 1}},
                                now);
             pool.set_primary("ledger", "p", now + millis(100'000), now);
-            pool.set_plan("ledger", {2, {}});
+            pool.set_plan("ledger", {2, {}, {}});
         }
-        hosts["front"].pool.set_plan("ledger", {0, {"first", "second"}});
+        hosts["front"].pool.set_plan("ledger", {0, {"first", "second"}, {}});
         CHECK(hosts["front"].pool.open_session(caller, "cards", now));
     }
 
@@ -367,3 +367,54 @@
     CHECK((work.own_commit == upstream::log_point{1, 10}));
     LONGS_EQUAL(70, work.own_commit_age.count());
 }
+
+TEST(forwarding, a_host_that_is_cut_from_the_primary_has_another_run_writes)
+{
+    // Load: a cut between some hosts and the primary, which most still reach.
+    auto& front = c.hosts["front"];
+    front.pool.set_plan("ledger", {2, {}, {"first", "second"}});
+    c.ask(statement_kind::read, "READ a");
+    c.let_open("front");
+    c.tick(millis(510));
+    // The read is not waited for; it has left for the other host as well.
+    STRCMP_EQUAL("READ a", c.passed.at(0).work.statement.text.c_str());
+    c.succeed("first", c.let_open("first"));
+    c.ask(statement_kind::write, "WRITE a 1");
+    STRCMP_EQUAL("first", c.passed.back().host.c_str());
+    c.succeed("first", c.hosts["first"].sent.back().connection);
+    CHECK_FALSE(c.replies.back().error.has_value());
+}
+
+TEST(forwarding, a_holder_that_is_cut_from_the_primary_sends_writes_elsewhere)
+{
+    c.ask(statement_kind::read, "READ a");
+    c.let_open("first");
+    c.tick(millis(510));
+    STRCMP_EQUAL("second", c.passed.back().host.c_str());
+    c.succeed("second", c.let_open("second"));
+    c.ask(statement_kind::write, "WRITE a 1");
+    STRCMP_EQUAL("second", c.passed.back().host.c_str());
+}
+
+TEST(forwarding, what_no_host_can_run_waits_and_is_refused)
+{
+    // Load: the primary is lost, so each host that is asked sends it on.
+    for (const char* name : {"first", "second"})
+    {
+        auto& pool = c.hosts[name].pool;
+        CHECK(pool.open_session(99, "cards", c.now));
+        sql::statement one;
+        one.kind = statement_kind::read;
+        one.id = "own";
+        one.text = "READ a";
+        c.take(name, pool.on_statement(99, one, c.now));
+        c.let_open(name);
+    }
+    c.tick(millis(510));
+    const auto before = c.passed.size();
+    c.ask(statement_kind::write, "WRITE a 1");
+    for (int i = 0; i < 24; ++i)
+        c.tick(millis(20));
+    CHECK(c.replies.back().error == error_kind::overloaded);
+    CHECK(c.passed.size() - before <= 12);
+}
--- a/tests/pooling/pooler_tests.cpp
+++ b/tests/pooling/pooler_tests.cpp
@@ -2,6 +2,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
 #include <deque>
 
 using namespace plantainward;
@@ -29,7 +30,7 @@
         add_route(routing, "specs", routes::read_rule::bounded_age);
         add_route(routing, "status", routes::read_rule::session);
         pool.set_routing(routing, now);
-        pool.set_plan("ledger", {2, {}});
+        pool.set_plan("ledger", {2, {}, {}});
         pool.set_upstreams({upstream("p"), upstream("r")}, now);
         pool.set_primary("ledger", "p", now + millis(100'000), now);
     }
@@ -458,7 +459,7 @@
 TEST(pooler, a_busy_database_is_not_asked_by_all_that_wait)
 {
     // Load: the replicas lag, so the primary has to run all statements.
-    c.pool.set_plan("ledger", {20, {}});
+    c.pool.set_plan("ledger", {20, {}, {}});
     for (session_id id = 1; id <= 20; ++id)
     {
         c.open_session(id, "cards");
@@ -484,7 +485,7 @@
 TEST(pooler, statements_in_time_go_before_those_that_are_late_already)
 {
     // Load: more work than the slots of the primary can run in time.
-    c.pool.set_plan("ledger", {1, {}});
+    c.pool.set_plan("ledger", {1, {}, {}});
     c.open_session(1, "cards");
     c.ask(1, statement_kind::read, "READ a");
     const auto id = c.let_open();
@@ -524,3 +525,95 @@
     CHECK(asked >= 1);
     CHECK(asked <= 5);
 }
+
+TEST(pooler, a_transaction_waits_for_a_busy_database)
+{
+    // Load: more transactions than slots; each has been granted some work.
+    c.open_session(1, "cards");
+    c.ask(1, statement_kind::begin, "BEGIN");
+    c.ask(1, statement_kind::read, "READ a");
+    const auto id = c.let_open();
+    c.succeed(id, transaction_state::open);
+    c.succeed(id, transaction_state::open);
+    c.ask(1, statement_kind::write, "WRITE a 1");
+    const auto answered = c.replies.size();
+    c.fail(id, refusal::busy, transaction_state::open);
+    LONGS_EQUAL(answered, c.replies.size());
+    c.now += millis(20);
+    c.take(c.pool.tick(c.now));
+    LONGS_EQUAL(id, c.sent.back().connection);
+    STRCMP_EQUAL("WRITE a 1", c.last_command().text.c_str());
+    c.succeed(id, transaction_state::open);
+    CHECK_FALSE(c.replies.back().reply.error.has_value());
+}
+
+TEST(pooler, a_transaction_that_a_busy_database_ended_is_refused)
+{
+    c.open_session(1, "cards");
+    c.ask(1, statement_kind::begin, "BEGIN");
+    c.ask(1, statement_kind::read, "READ a");
+    const auto id = c.let_open();
+    c.succeed(id, transaction_state::open);
+    c.succeed(id, transaction_state::open);
+    c.ask(1, statement_kind::write, "WRITE a 1");
+    c.fail(id, refusal::busy, transaction_state::failed);
+    CHECK(c.replies.back().reply.error == error_kind::overloaded);
+}
+
+TEST(pooler, a_read_whose_answer_is_lost_runs_again)
+{
+    // Load: a database runs statements and some of its answers are lost.
+    c.open_session(1, "cards");
+    c.ask(1, statement_kind::read, "READ a");
+    const auto silent = c.let_open();
+    c.open_session(2, "cards");
+    for (int i = 0; i < 3; ++i)
+    {
+        c.now += millis(100);
+        c.ask(2, statement_kind::read, "READ b");
+        if (c.opened.size() == 2 && i == 0)
+            c.let_open();
+        c.succeed(c.sent.back().connection);
+    }
+    c.now += millis(20);
+    c.take(c.pool.tick(c.now));
+    CHECK(std::find(c.closed.begin(), c.closed.end(), silent) !=
+          c.closed.end());
+    STRCMP_EQUAL("READ a", c.last_command().text.c_str());
+    CHECK(c.sent.back().connection != silent);
+}
+
+TEST(pooler, a_write_whose_answer_is_lost_is_waited_for)
+{
+    c.open_session(1, "cards");
+    c.ask(1, statement_kind::write, "WRITE a 1");
+    const auto silent = c.let_open();
+    c.open_session(2, "cards");
+    for (int i = 0; i < 5; ++i)
+    {
+        c.now += millis(100);
+        c.ask(2, statement_kind::read, "READ b");
+        if (i == 0)
+            c.let_open();
+        c.succeed(c.sent.back().connection);
+    }
+    c.take(c.pool.tick(c.now));
+    CHECK(std::find(c.closed.begin(), c.closed.end(), silent) ==
+          c.closed.end());
+    c.succeed(silent);
+    CHECK_FALSE(c.replies.back().reply.error.has_value());
+}
+
+TEST(pooler, reads_leave_a_database_that_has_gone_silent)
+{
+    // Load: the primary is cut off; reads that replicas may run wait for it.
+    c.open_session(1, "specs");
+    c.ask(1, statement_kind::read, "READ a");
+    const auto silent = c.let_open();
+    c.pool.add_mark("ledger", {c.now, {1, 42}});
+    c.now += millis(510);
+    c.take(c.pool.tick(c.now));
+    CHECK(std::find(c.closed.begin(), c.closed.end(), silent) !=
+          c.closed.end());
+    STRCMP_EQUAL("r", c.opened.at(1).where.id.c_str());
+}
