A host that stays lost is tried by one statement at a time

Change: the pause doubles up to 4 s, and one statement tries the host while the others go elsewhere.

--- a/src/plantainward/pooling/pooler.hpp
+++ b/src/plantainward/pooling/pooler.hpp
@@ -176,10 +176,12 @@
     void fail_transaction(session& who, bool told);
 
     // Work that other hosts run for this one, and this one for others.
+    bool may_try(const std::string& host, const std::string& service);
+    void host_lost(const std::string& host);
     bool try_forward(session& who, const std::vector<std::string>& hosts);
     bool is_cut_from_primary(const work& what);
     void send_remote_elsewhere();
-    void forward(session& who, forwarding to);
+    void forward(session& who, const forwarding& to);
     void forwarded_done(session& who, forwarded_reply answer);
     void end_forwarding(session& who);
     void reply_to_host(session& who, forwarded_reply answer);
@@ -238,8 +240,15 @@
     session_id m_last_remote{0};
     /// Remote sessions whose operation has ended.
     std::vector<session_id> m_ended_remote;
-    /// Hosts that get no new work before these instants.
-    std::map<std::string, core::boot_instant> m_avoided_hosts;
+    /// A host that was lost: until when it gets no new work, and for how long
+    /// it is left after its next loss.
+    struct lost_host
+    {
+        core::boot_instant until;
+        core::millis pause{0};
+    };
+
+    std::map<std::string, lost_host> m_lost_hosts;
     /// The same for the work of one service, by service and host.
     std::map<std::pair<std::string, std::string>, core::boot_instant>
         m_avoided_for;
--- a/src/plantainward/pooling/pooler_forwarding.cpp
+++ b/src/plantainward/pooling/pooler_forwarding.cpp
@@ -13,8 +13,9 @@
 {
 
 // For how long a host that was lost gets no new work: about the time after
-// which its silence is noticed again.
-constexpr core::millis avoid_time{500};
+// which its silence is noticed again, doubled while it stays lost.
+constexpr core::millis least_avoid_time{500};
+constexpr core::millis most_avoid_time{4000};
 
 // The same for a host that can't run the work of a service now; a replaced
 // primary may be in use again by then.
@@ -74,18 +75,36 @@
     return found != service.upstreams.end() && found->second.is_doubted(m_now);
 }
 
+void pooler::host_lost(const std::string& host)
+{
+    auto& lost = m_lost_hosts[host];
+    lost.pause = std::clamp(lost.pause * 2, least_avoid_time, most_avoid_time);
+    lost.until = m_now + lost.pause;
+}
+
+// A host that was lost is tried by one statement; the others wait for what
+// becomes of it.
+bool pooler::may_try(const std::string& host, const std::string& service)
+{
+    const auto avoided = m_avoided_for.find({service, host});
+    if (avoided != m_avoided_for.end() && m_now < avoided->second)
+        return false;
+    const auto lost = m_lost_hosts.find(host);
+    if (lost == m_lost_hosts.end())
+        return true;
+    if (m_now < lost->second.until)
+        return false;
+    lost->second.until = m_now + lost->second.pause;
+    return true;
+}
+
 bool pooler::try_forward(session& who, const std::vector<std::string>& hosts)
 {
     auto& what = *who.current;
-    const auto is_avoided = [&](const auto& avoided, const auto& key) {
-        const auto found = avoided.find(key);
-        return found != avoided.end() && m_now < found->second;
-    };
     for (const auto& host : hosts)
     {
         if (what.excluded_hosts.contains(host) ||
-            is_avoided(m_avoided_hosts, host) ||
-            is_avoided(m_avoided_for, std::pair(what.route.service, host)))
+            !may_try(host, what.route.service))
             continue;
         ++what.attempts;
         forward(who, {host, ++m_last_operation});
@@ -94,7 +113,7 @@
     return false;
 }
 
-void pooler::forward(session& who, forwarding to)
+void pooler::forward(session& who, const forwarding& to)
 {
     auto& what = *who.current;
     note(decision_kind::forwarded, who, to.host, {});
@@ -127,6 +146,7 @@
     auto& what = *who.current;
     if (!what.forwarded || what.forwarded->operation != operation)
         return take();
+    m_lost_hosts.erase(what.forwarded->host);
     if (!answer.try_elsewhere)
     {
         forwarded_done(who, std::move(answer));
@@ -175,7 +195,7 @@
     auto& what = *who.current;
     if (!what.forwarded || what.forwarded->operation != operation)
         return take();
-    m_avoided_hosts[what.forwarded->host] = now + avoid_time;
+    host_lost(what.forwarded->host);
     what.excluded_hosts.insert(what.forwarded->host);
     work_lost(who, sent, sent ? "sent to a host" : "not sent to a host");
     serve_queue();
--- a/tests/pooling/forwarding_tests.cpp
+++ b/tests/pooling/forwarding_tests.cpp
@@ -283,6 +283,34 @@
     STRCMP_EQUAL("second", c.passed.back().host.c_str());
 }
 
+TEST(forwarding, a_host_that_stays_lost_is_tried_by_one_statement)
+{
+    // Load: a holder is cut off for seconds; each statement that tries it waits
+    // for its silence.
+    c.silent.insert("first");
+    auto& front = c.hosts["front"].pool;
+    int tried = 0;
+    for (session_id id = 10; id < 210; ++id)
+    {
+        c.now += millis(25);
+        CHECK(front.open_session(id, "cards", c.now));
+        sql::statement one;
+        one.kind = statement_kind::read;
+        one.id = "r" + std::to_string(id);
+        one.text = "READ a";
+        const auto before = c.passed.size();
+        c.take("front", front.on_statement(id, one, c.now));
+        if (c.passed.size() == before || c.passed.at(before).host != "first")
+            continue;
+        ++tried;
+        c.take("front", front.on_forward_lost(id, c.passed.at(before).operation,
+                                              true, c.now));
+    }
+    // In 5 s, at 0, 0.5, 1.5 and 3.5 s.
+    CHECK(tried >= 3);
+    CHECK(tried <= 5);
+}
+
 TEST(forwarding, a_stopping_helper_ends_its_transactions_and_takes_no_others)
 {
     c.ask(statement_kind::begin, "BEGIN");
