--- a/tests/platform_adapter/table_follower_tests.cpp
+++ b/tests/platform_adapter/table_follower_tests.cpp
@@ -39,13 +39,16 @@
         client = std::make_unique<store_client>(io, where);
         table_events events;
         events.all = [this](const std::vector<store_row>& all,
-                            core::boot_instant) { rows = all.size(); };
+                            core::boot_instant) {
+            rows = all.size();
+        };
         events.changed = [this](const std::vector<store_row>& changed) {
             rows += changed.size();
         };
-        events.reachable = [](bool) {};
-        follower = std::make_unique<table_follower>(io, *client, "t", gather,
-                                                    events);
+        events.reachable = [](bool) {
+        };
+        follower =
+            std::make_unique<table_follower>(io, *client, "t", gather, events);
     }
 
     void teardown() override
@@ -55,7 +58,7 @@
         store.reset();
     }
 
-    void run(millis time)
+    void pass(millis time)
     {
         const auto end = std::chrono::steady_clock::now() + time;
         while (std::chrono::steady_clock::now() < end)
@@ -66,10 +69,10 @@
 TEST(table_follower, a_table_is_read_and_its_changes_are_told)
 {
     follower->start();
-    run(millis(300));
+    pass(millis(300));
     LONGS_EQUAL(1, rows);
     store->put("t", "b", "2");
-    run(millis(400));
+    pass(millis(400));
     LONGS_EQUAL(2, rows);
 }
 
@@ -79,7 +82,7 @@
     // host ends at once.
     store->set_fault(store_fault::lost_history);
     follower->start();
-    run(millis(1000));
+    pass(millis(1000));
     LONGS_EQUAL(1, rows);
     // At most a feed and a read for each time that changes are gathered.
     CHECK(store->calls() <= 24);
@@ -88,12 +91,12 @@
 TEST(table_follower, a_stopped_follower_asks_no_more_and_can_start_again)
 {
     follower->start();
-    run(millis(300));
+    pass(millis(300));
     follower->stop();
     store->put("t", "b", "2");
-    run(millis(300));
+    pass(millis(300));
     LONGS_EQUAL(1, rows);
     follower->start();
-    run(millis(300));
+    pass(millis(300));
     LONGS_EQUAL(2, rows);
 }
--- a/tests/relay/relay_gateway_tests.cpp
+++ b/tests/relay/relay_gateway_tests.cpp
@@ -135,7 +135,9 @@
     for (int i = 0; i < 2000; ++i)
     {
         auto bytes = encode(statement_message{"front/7", 12, some_work()});
-        bytes[random() % bytes.size()] ^= static_cast<char>(random() % 255 + 1);
+        auto& byte = bytes[random() % bytes.size()];
+        byte = static_cast<char>(static_cast<unsigned>(byte) ^
+                                 static_cast<unsigned>(random() % 255 + 1));
         bytes.resize(random() % (bytes.size() + 1));
         (void)decode_statement(bytes);
         (void)decode_reply(bytes);
