Logs and metrics that tell the four kinds of double promotion apart

A promotion call had one line, at its end, without token; the end of a claim had none.

No decision is changed.

--- a/src/plantainward/entry/entry_host.cpp
+++ b/src/plantainward/entry/entry_host.cpp
@@ -21,9 +21,14 @@
 
 void entry_host::tell(observe::log_event event, const std::string& service,
                       std::string detail) const
+{
+    tell({event, service, std::move(detail)});
+}
+
+void entry_host::tell(const belief& one) const
 {
     if (m_on_belief)
-        m_on_belief({event, service, std::move(detail)});
+        m_on_belief(one);
 }
 
 succession::succession& entry_host::succession_of(const std::string& service)
@@ -114,6 +119,7 @@
          std::string(succession::phase_names[record.phase]) + " " +
              record.primary + " by " + record.writer + ", version " +
              std::to_string(record.version));
+    tell_claim_end(one, now);
     update_primary(one, now, out);
     return true;
 }
@@ -209,6 +215,7 @@
              : (end == succession::write_end::conflict ? "conflict"
                                                        : "not known"));
     const auto wanted = one.on_write(end, version, now);
+    tell_claim_end(one, now);
     if (end == succession::write_end::written)
     {
         one.prove(version, sent);
@@ -224,7 +231,7 @@
         m_last_record_read = now;
         out.control.emplace_back(read_records_action{});
     }
-    carry_out(service, wanted, out);
+    carry_out(service, wanted, now, out);
     return out;
 }
 
@@ -246,12 +253,19 @@
                                       core::boot_instant now)
 {
     entry_actions out;
-    tell(observe::log_event::promotion, service,
-         end == succession::promote_end::accepted
-             ? "accepted"
-             : (end == succession::promote_end::rejected ? "rejected"
-                                                         : "not known"));
-    carry_out(service, succession_of(service).on_promote(end, now), out);
+    auto& one = succession_of(service);
+    const auto call = std::exchange(m_calls[service], {});
+    const auto took = std::chrono::duration_cast<core::millis>(now - call.sent);
+    tell({observe::log_event::promotion,
+          service,
+          std::string(succession::promote_end_names[end]),
+          {{"upstream", call.what.upstream},
+           {"token", std::to_string(call.what.token)},
+           {"under_way_ms", std::to_string(took.count())},
+           {"known_version", std::to_string(one.lease().record().version)}},
+          observe::measure::promotion_call,
+          took});
+    carry_out(service, one.on_promote(end, now), now, out);
     return out;
 }
 
@@ -265,9 +279,47 @@
                                      until.value_or(core::boot_instant{}), now);
     std::move(made.begin(), made.end(), std::back_inserter(out.pooling));
 }
+
+void entry_host::promote(const std::string& service,
+                         const succession::promote_action& wanted,
+                         core::boot_instant now, entry_actions& out)
+{
+    m_calls[service] = {wanted, now};
+    tell({observe::log_event::promotion_sent,
+          service,
+          {},
+          {{"upstream", wanted.upstream},
+           {"token", std::to_string(wanted.token)},
+           {"since_write_ms",
+            std::to_string(core::to_ms(now - wanted.written))}}});
+    out.control.emplace_back(promote_upstream_action{service, wanted});
+}
+
+void entry_host::tell_claim_end(succession::succession& one,
+                                core::boot_instant now)
+{
+    const auto ended = one.take_ended();
+    if (!ended)
+        return;
+    const auto& known = one.lease().record();
+    const auto took =
+        std::chrono::duration_cast<core::millis>(now - ended->started);
+    tell({observe::log_event::claim_ended,
+          one.service(),
+          std::string(succession::end_names[ended->end]),
+          {{"cause", std::string(succession::cause_names[ended->cause])},
+           {"stage", std::string(succession::stage_names[ended->reached])},
+           {"version", std::to_string(ended->version)},
+           {"known_version", std::to_string(known.version)},
+           {"known_writer", known.writer},
+           {"took_ms", std::to_string(took.count())}},
+          observe::measure::claim,
+          took});
+}
+
 void entry_host::carry_out(const std::string& service,
                            const succession::claim_actions& wanted,
-                           entry_actions& out)
+                           core::boot_instant now, entry_actions& out)
 {
     const auto find = [&](const std::string& id) {
         return std::find_if(m_upstreams.begin(), m_upstreams.end(),
@@ -282,8 +334,7 @@
                     out.control.emplace_back(write_record_action{service, one});
                 else if constexpr (std::is_same_v<kind,
                                                   succession::promote_action>)
-                    out.control.emplace_back(
-                        promote_upstream_action{service, one});
+                    promote(service, one, now, out);
                 else if (const auto where = find(one.upstream);
                          where != m_upstreams.end())
                 {
@@ -338,7 +389,7 @@
                  std::string(succession::cause_names[one.running()->cause()]) +
                      ", primary " + record.primary + ", version " +
                      std::to_string(record.version));
-        carry_out(service, wanted, out);
+        carry_out(service, wanted, now, out);
     }
 }
 entry_actions entry_host::tick(core::boot_instant now)
--- a/src/plantainward/entry/entry_host.hpp
+++ b/src/plantainward/entry/entry_host.hpp
@@ -5,11 +5,13 @@
 #include <plantainward/fleet/fleet_news.hpp>
 #include <plantainward/fleet/fleet_view.hpp>
 #include <plantainward/observe/log_event.hpp>
+#include <plantainward/observe/metrics.hpp>
 #include <plantainward/pooling/pooler.hpp>
 #include <plantainward/succession/succession.hpp>
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <variant>
@@ -97,6 +99,18 @@
     observe::log_event event{observe::log_event::upstream_known};
     std::string service;
     std::string detail;
+    /// What decided it, by name.
+    std::vector<observe::log_field> inputs{};
+    /// A span to count in metrics, if one has ended.
+    std::optional<observe::measure> took{};
+    core::millis time{0};
+};
+
+/// A promotion call whose end is not known yet.
+struct promotion_call
+{
+    succession::promote_action what;
+    core::boot_instant sent;
 };
 
 using belief_observer = std::function<void(const belief&)>;
@@ -212,7 +226,12 @@
     fleet::service_news news_of(const std::string& service,
                                 core::boot_instant now) const;
     void carry_out(const std::string& service,
-                   const succession::claim_actions& wanted, entry_actions& out);
+                   const succession::claim_actions& wanted,
+                   core::boot_instant now, entry_actions& out);
+    void promote(const std::string& service,
+                 const succession::promote_action& wanted,
+                 core::boot_instant now, entry_actions& out);
+    void tell_claim_end(succession::succession& one, core::boot_instant now);
     void run_claims(core::boot_instant now, entry_actions& out);
     void update_upstreams(core::boot_instant now, entry_actions& out);
     void renew_leases(core::boot_instant now, entry_actions& out);
@@ -231,6 +250,7 @@
     bool knows_present_tables(core::boot_instant now) const;
     void tell(observe::log_event event, const std::string& service,
               std::string detail) const;
+    void tell(const belief& one) const;
 
     entry_identity m_identity;
     pooling::pooler m_pooler;
@@ -252,6 +272,8 @@
     std::uint64_t m_wanted_upstreams{0};
     std::map<fleet::service_key, std::string> m_service_keys;
     std::map<std::string, succession::succession> m_successions;
+    /// The promotion call under way of each service.
+    std::map<std::string, promotion_call> m_calls;
     belief_observer m_on_belief;
     bool m_knows_records{false};
     bool m_claims{true};
--- a/src/plantainward/entry/host_reports.cpp
+++ b/src/plantainward/entry/host_reports.cpp
@@ -30,6 +30,8 @@
         return log_event::request_lost;
     case pooling::decision_kind::timed_out:
         return log_event::request_timed_out;
+    case pooling::decision_kind::committed:
+        return log_event::request_committed;
     default:
         return log_event::request_refused;
     }
@@ -46,7 +48,13 @@
 
 void host_reports::tell(const belief& one)
 {
-    m_log.write(one.event, {{"service", one.service}, {"detail", one.detail}});
+    std::vector<observe::log_field> fields{{"service", one.service},
+                                           {"detail", one.detail}};
+    fields.insert(fields.end(), one.inputs.begin(), one.inputs.end());
+    m_log.write(one.event, fields);
+    if (one.took)
+        m_metrics.observe(*one.took, one.service, "all",
+                          static_cast<double>(one.time.count()));
     m_metrics.count("events", observe::row_of(one.event).name);
 }
 
@@ -63,7 +71,8 @@
                  {"mark_age_ms", std::to_string(one.mark_age.count())},
                  {"routing", std::to_string(one.routing_version)}});
     if (one.kind != pooling::decision_kind::placed &&
-        one.kind != pooling::decision_kind::forwarded)
+        one.kind != pooling::decision_kind::forwarded &&
+        one.kind != pooling::decision_kind::committed)
         m_metrics.count("events", observe::row_of(event_of(one.kind)).name);
 }
 
--- a/src/plantainward/observe/event_log.hpp
+++ b/src/plantainward/observe/event_log.hpp
@@ -4,6 +4,7 @@
 #include <plantainward/observe/log_event.hpp>
 
 #include <array>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <mutex>
@@ -31,7 +32,10 @@
         std::uint64_t suppressed{0};
     };
 
-    std::array<window, 32> m_windows{};
+    // One window for each kind of line.
+    std::array<window,
+               static_cast<std::size_t>(log_event::lines_suppressed) + 1>
+        m_windows{};
 };
 
 /// Writes a line to standard output if that doesn't block; false otherwise.
--- a/src/plantainward/observe/log_event.cpp
+++ b/src/plantainward/observe/log_event.cpp
@@ -17,7 +17,7 @@
 constexpr int failing = 100;
 constexpr int ordinary = 40;
 
-constexpr std::array<log_event_row, 31> table{{
+constexpr std::array<log_event_row, 34> table{{
     {started, "started", rare, "the process listens"},
     {stopped, "stopped", rare, "the process ends after a graceful shutdown"},
     {draining, "draining", rare, "a stop was asked for"},
@@ -47,7 +47,15 @@
      "this host's conditional write of a record has ended"},
     {claim_started, "claim_started", belief,
      "this host begins to replace a primary; the cause is told"},
-    {promotion, "promotion", belief, "the promotion call has ended"},
+    {claim_ended, "claim_ended", belief,
+     "this host has stopped replacing a primary; with the reason, the last "
+     "stage, and the record that it knows now"},
+    {promotion_sent, "promotion_sent", belief,
+     "the promotion call starts; with its fencing token and the time since "
+     "the conditional write that gave the token"},
+    {promotion, "promotion", belief,
+     "the promotion call has ended; with its token, the time under way, and "
+     "the version of the record that this host knows now"},
     {member_removed, "member_removed", rare,
      "a silent host's registration is removed"},
     {isolated, "isolated", rare, "no lease can be proved any more"},
@@ -72,6 +80,9 @@
      "the time limit has passed; with whether it was sent"},
     {request_refused, "request_refused", failing,
      "the caller is told an error; with its kind and reason"},
+    {request_committed, "request_committed", ordinary,
+     "the caller is told that a write is kept; with what is left of the lease "
+     "on the database that took it"},
     {lines_suppressed, "lines_suppressed", rare,
      "lines of a kind that were over its budget"},
 }};
--- a/src/plantainward/observe/log_event.hpp
+++ b/src/plantainward/observe/log_event.hpp
@@ -30,6 +30,8 @@
     primary_record,
     record_write,
     claim_started,
+    claim_ended,
+    promotion_sent,
     promotion,
     member_removed,
     isolated,
@@ -43,6 +45,7 @@
     request_lost,
     request_timed_out,
     request_refused,
+    request_committed,
     lines_suppressed
 };
 
--- a/src/plantainward/observe/metrics.cpp
+++ b/src/plantainward/observe/metrics.cpp
@@ -23,8 +23,9 @@
 constexpr double largest_ms = 20'000;
 constexpr unsigned bins = 48;
 
-constexpr core::enum_names<measure, 4> measure_names{
-    {"latency_ms", "queue_time_ms", "read_age_ms", "confirmation_wait_ms"}};
+constexpr core::enum_names<measure, 6> measure_names{
+    {"latency_ms", "queue_time_ms", "read_age_ms", "confirmation_wait_ms",
+     "promotion_call_ms", "claim_ms"}};
 
 auto make_histogram()
 {
--- a/src/plantainward/observe/metrics.hpp
+++ b/src/plantainward/observe/metrics.hpp
@@ -16,7 +16,11 @@
     latency,
     queue_time,
     read_age,
-    confirmation_wait
+    confirmation_wait,
+    /// From the start of a promotion call to its end.
+    promotion_call,
+    /// From the start of a claim to its end.
+    claim
 };
 
 /// Counters and histograms, each by tenant and class.
--- a/src/plantainward/pooling/pooler.hpp
+++ b/src/plantainward/pooling/pooler.hpp
@@ -27,7 +27,9 @@
     retried,
     lost,
     timed_out,
-    refused
+    refused,
+    /// The caller is told that a write is kept.
+    committed
 };
 
 /// A decision about one request with the inputs that decided it.
--- a/src/plantainward/pooling/pooler_connections.cpp
+++ b/src/plantainward/pooling/pooler_connections.cpp
@@ -355,6 +355,8 @@
                "the primary was replaced before the commit was confirmed");
         return serve_queue();
     }
+    if (committed)
+        note(decision_kind::committed, who, one.upstream, {});
     sql::reply made;
     made.rows = std::move(answer.rows);
     made.signature = std::move(answer.signature);
--- a/src/plantainward/pooling/pooler_forwarding.cpp
+++ b/src/plantainward/pooling/pooler_forwarding.cpp
@@ -180,6 +180,8 @@
         what.is_final && (!who.transaction || !who.transaction->read_only);
     if (committed && answer.reply.position)
         who.own_commit = freshness::mark{m_now, *answer.reply.position};
+    if (committed)
+        note(decision_kind::committed, who, {}, "by another host");
     answer.reply.state = who.state();
     finish(who, std::move(answer.reply));
 }
--- a/src/plantainward/succession/claim.cpp
+++ b/src/plantainward/succession/claim.cpp
@@ -74,10 +74,8 @@
                               core::boot_instant now)
 {
     if (end != write_end::written)
-    {
-        m_stage = claim_stage::finished;
-        return {};
-    }
+        return finish(end == write_end::conflict ? claim_end::conflict
+                                                 : claim_end::write_unknown);
     m_record = m_wanted;
     m_record.version = version;
     switch (m_stage)
@@ -88,19 +86,23 @@
         return {};
     case claim_stage::confirming:
         if (now - m_last_sent > promote_within)
-        {
-            m_stage = claim_stage::finished;
-            return {};
-        }
+            return finish(claim_end::too_late);
         m_stage = claim_stage::promoting;
         m_promoted_at = now;
-        return {promote_action{m_record.primary, version}};
+        return {promote_action{m_record.primary, version, m_last_sent}};
     default:
-        m_stage = claim_stage::finished;
-        return {};
+        return finish(claim_end::settled);
     }
 }
 
+claim_actions claim::finish(claim_end end)
+{
+    m_reached = m_stage;
+    m_stage = claim_stage::finished;
+    m_end = end;
+    return {};
+}
+
 void claim::on_status(const std::string& upstream, core::boot_instant asked,
                       const sql::status_answer& status)
 {
--- a/src/plantainward/succession/claim.hpp
+++ b/src/plantainward/succession/claim.hpp
@@ -65,6 +65,8 @@
 {
     std::string upstream;
     std::uint64_t token{0};
+    /// When the conditional write that gave the token was sent.
+    core::boot_instant written{};
 };
 
 using claim_action =
@@ -91,6 +93,10 @@
     unknown
 };
 
+/// Names of the ends of promotion calls in logs.
+inline constexpr core::enum_names<promote_end, 3> promote_end_names{
+    {"accepted", "rejected", "not known"}};
+
 /// What a claim knows of the world at one step.
 struct claim_view
 {
@@ -123,6 +129,25 @@
     {"writing", "gathering", "confirming", "promoting", "settling",
      "finished"}};
 
+/// Why a claim has ended.
+enum class claim_end : std::uint8_t
+{
+    /// The record names a primary again.
+    settled,
+    /// The record was changed by another host before this one wrote it.
+    conflict,
+    /// A conditional write had no answer.
+    write_unknown,
+    /// The answer to the conditional write came too late for its promotion.
+    too_late,
+    /// Another host has written a newer record.
+    superseded
+};
+
+/// Names of the reasons in logs.
+inline constexpr core::enum_names<claim_end, 5> end_names{
+    {"settled", "conflict", "write_unknown", "too_late", "superseded"}};
+
 /// One attempt of this host to replace the primary of a service.
 ///
 /// The record is claimed by a conditional write, then every use of the old
@@ -146,6 +171,10 @@
     claim_actions tick(const claim_view& view, core::boot_instant now);
 
     claim_stage stage() const { return m_stage; }
+    /// Last stage before the end.
+    claim_stage reached() const { return m_reached; }
+    /// Why it has finished.
+    claim_end end() const { return m_end; }
     claim_cause cause() const { return m_cause; }
     /// The record as this claim last wrote it.
     const leadership& record() const { return m_record; }
@@ -160,6 +189,7 @@
 
     void ask_all(const claim_view& view, core::boot_instant now,
                  claim_actions& out);
+    claim_actions finish(claim_end end);
     bool is_fenced(const claim_view& view, core::boot_instant now);
     std::optional<std::string> standing_primary(const claim_view& view,
                                                 core::boot_instant now) const;
@@ -179,6 +209,8 @@
     leadership m_wanted;
     claim_cause m_cause;
     claim_stage m_stage{claim_stage::writing};
+    claim_stage m_reached{claim_stage::writing};
+    claim_end m_end{claim_end::settled};
     core::boot_instant m_started;
     core::boot_instant m_last_sent{};
     core::boot_instant m_claimed_at{};
--- a/src/plantainward/succession/succession.cpp
+++ b/src/plantainward/succession/succession.cpp
@@ -51,7 +51,7 @@
                             record.version > m_claim->record().version &&
                             record.writer != m_self;
     if (superseded)
-        m_claim.reset();
+        end_claim(claim_end::superseded, m_claim->stage());
     return true;
 }
 
@@ -146,8 +146,15 @@
 {
     if (!m_claim || m_claim->stage() != claim_stage::finished)
         return;
-    m_claim.reset();
+    end_claim(m_claim->end(), m_claim->reached());
     m_not_before = now + retry_pause;
 }
 
+void succession::end_claim(claim_end end, claim_stage reached)
+{
+    m_ended = ended_claim{m_claim->cause(), end, reached,
+                          m_claim->record().version, m_claim->started()};
+    m_claim.reset();
+}
+
 } // namespace plantainward::succession
--- a/src/plantainward/succession/succession.hpp
+++ b/src/plantainward/succession/succession.hpp
@@ -3,6 +3,11 @@
 #include <plantainward/succession/claim.hpp>
 #include <plantainward/succession/primary_lease.hpp>
 
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <utility>
+
 namespace plantainward::succession
 {
 
@@ -24,6 +29,17 @@
     bool writer_goes_on{true};
 };
 
+/// A claim that is over, for logs.
+struct ended_claim
+{
+    claim_cause cause{claim_cause::unset};
+    claim_end end{claim_end::settled};
+    claim_stage reached{claim_stage::writing};
+    /// Version of the record as the claim last wrote it.
+    std::uint64_t version{0};
+    core::boot_instant started;
+};
+
 /// The primary of one service as this host knows it, and its replacement.
 class succession
 {
@@ -55,10 +71,17 @@
     const std::string& service() const { return m_service; }
     const std::optional<claim>& running() const { return m_claim; }
 
+    /// The claim that has ended since the last call.
+    std::optional<ended_claim> take_ended()
+    {
+        return std::exchange(m_ended, std::nullopt);
+    }
+
 private:
     std::optional<claim_cause> cause(const succession_view& view,
                                      core::boot_instant now) const;
     void end_if_finished(core::boot_instant now);
+    void end_claim(claim_end end, claim_stage reached);
 
     std::string m_self;
     std::string m_service;
@@ -69,6 +92,7 @@
     bool m_cannot_write{false};
     core::boot_instant m_not_before{};
     std::optional<claim> m_claim;
+    std::optional<ended_claim> m_ended;
 };
 
 } // namespace plantainward::succession
