--- a/tests/succession/claim_tests.cpp
+++ b/tests/succession/claim_tests.cpp
@@ -245,6 +245,34 @@
     STRCMP_EQUAL("r2", write->record.primary.c_str());
 }
 
+// Guards against writes at a database that leads from before its promotion.
+TEST(claim, leading_since_before_the_promotion_does_not_settle_it)
+{
+    // "r2" led term 2, was replaced, and has not learned of it yet.
+    claim_case c(claim_cause::lost);
+    c.write_claim();
+    c.aware = 3;
+    c.tick_after(millis(1));
+    c.now += millis(5);
+    c.all_answer();
+    c.one.on_status("r2", c.now, status(true, 2, {3, 12}));
+    c.tick_after(millis(1));
+    CHECK(find<promote_action>(c.one.on_write(write_end::written, 9, c.now)) !=
+          nullptr);
+    c.one.on_promote(promote_end::accepted, c.now);
+    c.now += millis(60);
+    c.one.on_status("r2", c.now, status(true, 2, {3, 12}));
+    CHECK(find<write_action>(c.tick_after(millis(1))) == nullptr);
+    CHECK(c.one.stage() == claim_stage::promoting);
+    c.now += millis(300);
+    c.one.on_status("r2", c.now, status(true, 4, {3, 12}));
+    const auto actions = c.tick_after(millis(1));
+    const auto* write = find<write_action>(actions);
+    CHECK(write != nullptr);
+    CHECK(write->record.phase == leadership_phase::settled);
+    STRCMP_EQUAL("r2", write->record.primary.c_str());
+}
+
 TEST(claim, a_rejected_database_is_passed_over_for_the_next)
 {
     claim_case c(claim_cause::lost);
