A promotion is taken as done only by a primary of a new term

Cause: a claim that had asked for a promotion settled the record as soon as the chosen database said that it leads. A database that was replaced while nobody reached it still leads its old term; promoted again, it says so before the promotion has taken effect. The record was settled 49 to 140 ms after the call in every such trace, where a promotion takes 300 ms.

Now the database must lead a higher term than it did before the call, or still lead after the longest promotion: then it was the primary already and the call changes nothing.

--- a/src/plantainward/succession/claim.cpp
+++ b/src/plantainward/succession/claim.cpp
@@ -32,6 +32,11 @@
 // not show by then is repeated.
 constexpr core::millis promote_patience{2500};
 
+// A promotion takes some hundred ms up to a second, with slack. What leads its
+// old term for longer after the call was the platform's primary already, and
+// the call changes nothing.
+constexpr core::millis longest_promotion{1500};
+
 // A database that was not running is not tried again for this time.
 constexpr core::millis rejected_pause{1000};
 
@@ -260,10 +265,21 @@
         answer_of(*best)->status.received < old->status.received &&
         now - *m_fenced_at < catch_up_patience)
         return;
+    m_before_promotion = answer_of(*best)->status;
     write(leadership_phase::claimed, *best, find(view, *best)->born_ms,
           claim_stage::confirming, now, out);
 }
 
+// A database that led before, and has not heard that it was replaced, goes on
+// leading its old term until the promotion takes effect.
+bool claim::has_promoted(const answer& chosen) const
+{
+    if (chosen.asked < m_promoted_at || !chosen.status.is_primary)
+        return false;
+    return chosen.status.term > m_before_promotion.term ||
+           chosen.asked - m_promoted_at > longest_promotion;
+}
+
 claim_actions claim::tick(const claim_view& view, core::boot_instant now)
 {
     claim_actions out;
@@ -279,8 +295,7 @@
         return out;
     ask_all(view, now, out);
     const auto* chosen = answer_of(m_record.primary);
-    if (chosen != nullptr && chosen->asked >= m_promoted_at &&
-        chosen->status.is_primary)
+    if (chosen != nullptr && has_promoted(*chosen))
     {
         write(leadership_phase::settled, m_record.primary, m_record.born_ms,
               claim_stage::settling, now, out);
--- a/src/plantainward/succession/claim.hpp
+++ b/src/plantainward/succession/claim.hpp
@@ -202,6 +202,7 @@
                std::uint64_t born_ms, claim_stage stage, core::boot_instant now,
                claim_actions& out);
     const answer* answer_of(const std::string& upstream) const;
+    bool has_promoted(const answer& chosen) const;
 
     std::string m_self;
     leadership m_before;
@@ -219,6 +220,8 @@
     std::optional<core::boot_instant> m_demoted_at;
     core::boot_instant m_last_asked{};
     core::boot_instant m_promoted_at{};
+    /// What the chosen database said before its promotion was asked for.
+    sql::database_status m_before_promotion;
     std::map<std::string, answer> m_answers;
     /// Databases that don't run, with the instant of the question.
     std::map<std::string, core::boot_instant> m_down_at;
