After a promotion that may have run, its old primary is not kept

Another host that took the claim over knew of no call at all, so it always promoted once more.

The record now says whether a promotion may have been asked for since it was settled last, and the term of the chosen database before. Whoever goes on keeps the old primary only if none was asked for, and settles at once on the chosen database if it leads a higher term: no second call.

after_a_promotion_of_unknown_end_the_old_primary_is_not_kept is red without the first guard, the three tests of takeovers without the others (each tried).

--- a/src/plantainward/fleet/heartbeat.cpp
+++ b/src/plantainward/fleet/heartbeat.cpp
@@ -16,7 +16,7 @@
 {
 
 // Names the format; another one is refused.
-constexpr std::uint16_t format = 0x5032;
+constexpr std::uint16_t format = 0x5033;
 
 // Longest name that a heartbeat carries, in bytes.
 constexpr std::size_t max_text = 200;
@@ -50,7 +50,7 @@
 template <class Archive>
 void exchange_record(Archive& archive, succession::leadership& one)
 {
-    archive(one.version, one.phase, one.born_ms);
+    archive(one.version, one.phase, one.born_ms, one.term, one.promoting);
     short_text primary{one.primary};
     short_text writer{one.writer};
     archive(primary, writer);
--- a/src/plantainward/succession/claim.cpp
+++ b/src/plantainward/succession/claim.cpp
@@ -60,16 +60,18 @@
 claim_actions claim::start()
 {
     claim_actions out;
-    write(leadership_phase::claimed, m_before.primary, m_before.born_ms,
-          claim_stage::writing, m_started, out);
+    auto wanted = m_before;
+    wanted.phase = leadership_phase::claimed;
+    write(wanted, claim_stage::writing, m_started, out);
     return out;
 }
 
-void claim::write(leadership_phase phase, const std::string& primary,
-                  std::uint64_t born_ms, claim_stage stage,
-                  core::boot_instant now, claim_actions& out)
+void claim::write(leadership wanted, claim_stage stage, core::boot_instant now,
+                  claim_actions& out)
 {
-    m_wanted = {0, phase, primary, born_ms, m_self};
+    wanted.version = 0;
+    wanted.writer = m_self;
+    m_wanted = std::move(wanted);
     m_stage = stage;
     m_last_sent = now;
     out.emplace_back(write_action{m_record.version, m_wanted});
@@ -126,6 +128,7 @@
     if (m_stage == claim_stage::promoting && end == promote_end::rejected)
     {
         m_rejected[m_record.primary] = now;
+        m_record.promoting = m_promoted_before;
         m_stage = claim_stage::gathering;
     }
     return {};
@@ -164,13 +167,30 @@
     return m_fenced_at.has_value();
 }
 
+void claim::settle(const claim_view& view, const std::string& upstream,
+                   core::boot_instant now, claim_actions& out)
+{
+    const auto* known = find(view, upstream);
+    write({0,
+           leadership_phase::settled,
+           upstream,
+           known == nullptr ? m_record.born_ms : known->born_ms,
+           {},
+           answer_of(upstream)->status.term,
+           false},
+          claim_stage::settling, now, out);
+}
+
 // The primary that goes on: it answers, stays, and nobody has a longer log.
 std::optional<std::string> claim::standing_primary(const claim_view& view,
                                                    core::boot_instant now) const
 {
-    // An abandoned claim may have promoted a database that is not seen now.
-    if (m_cause == claim_cause::abandoned || m_demoted_at ||
-        !has_everything(view, now))
+    // A promotion that was asked for may have taken effect at a database that
+    // is not seen now.
+    const bool may_be_replaced =
+        m_record.promoting || (m_cause == claim_cause::abandoned &&
+                               m_before.phase != leadership_phase::claimed);
+    if (may_be_replaced || m_demoted_at || !has_everything(view, now))
         return std::nullopt;
     const auto best = best_candidate(view);
     if (!best)
@@ -190,6 +210,19 @@
     return found;
 }
 
+// The database that an abandoned claim has promoted, once that shows.
+std::optional<std::string> claim::promoted_before(const claim_view& view) const
+{
+    const auto* known = find(view, m_record.primary);
+    const auto* told = answer_of(m_record.primary);
+    if (!m_record.promoting || known == nullptr || known->leaving ||
+        known->born_ms != m_record.born_ms || told == nullptr ||
+        told->asked < m_claimed_at || !told->status.is_primary ||
+        told->status.term <= m_record.term)
+        return std::nullopt;
+    return m_record.primary;
+}
+
 std::optional<std::string> claim::best_candidate(const claim_view& view) const
 {
     std::optional<std::string> best;
@@ -251,9 +284,10 @@
     // believes to lead has been replaced.
     if (standing &&
         (m_cause == claim_cause::unset || *standing == m_before.primary))
-        return write(leadership_phase::settled, *standing,
-                     find(view, *standing)->born_ms, claim_stage::settling, now,
-                     out);
+        return settle(view, *standing, now, out);
+    if (fenced)
+        if (const auto promoted = promoted_before(view))
+            return settle(view, *promoted, now, out);
     if (!fenced || demote_old_primary(view, out) || !has_everything(view, now))
         return;
     const auto best = best_candidate(view);
@@ -265,8 +299,14 @@
         answer_of(*best)->status.received < old->status.received &&
         now - *m_fenced_at < catch_up_patience)
         return;
-    m_before_promotion = answer_of(*best)->status;
-    write(leadership_phase::claimed, *best, find(view, *best)->born_ms,
+    m_promoted_before = m_record.promoting;
+    write({0,
+           leadership_phase::claimed,
+           *best,
+           find(view, *best)->born_ms,
+           {},
+           answer_of(*best)->status.term,
+           true},
           claim_stage::confirming, now, out);
 }
 
@@ -276,7 +316,7 @@
 {
     if (chosen.asked < m_promoted_at || !chosen.status.is_primary)
         return false;
-    return chosen.status.term > m_before_promotion.term ||
+    return chosen.status.term > m_record.term ||
            chosen.asked - m_promoted_at > longest_promotion;
 }
 
@@ -297,8 +337,7 @@
     const auto* chosen = answer_of(m_record.primary);
     if (chosen != nullptr && has_promoted(*chosen))
     {
-        write(leadership_phase::settled, m_record.primary, m_record.born_ms,
-              claim_stage::settling, now, out);
+        settle(view, m_record.primary, now, out);
         return out;
     }
     if (now - m_promoted_at > promote_patience)
--- a/src/plantainward/succession/claim.hpp
+++ b/src/plantainward/succession/claim.hpp
@@ -198,9 +198,11 @@
     void gather(const claim_view& view, core::boot_instant now,
                 claim_actions& out);
     bool demote_old_primary(const claim_view& view, claim_actions& out);
-    void write(leadership_phase phase, const std::string& primary,
-               std::uint64_t born_ms, claim_stage stage, core::boot_instant now,
+    void write(leadership wanted, claim_stage stage, core::boot_instant now,
                claim_actions& out);
+    void settle(const claim_view& view, const std::string& upstream,
+                core::boot_instant now, claim_actions& out);
+    std::optional<std::string> promoted_before(const claim_view& view) const;
     const answer* answer_of(const std::string& upstream) const;
     bool has_promoted(const answer& chosen) const;
 
@@ -220,8 +222,8 @@
     std::optional<core::boot_instant> m_demoted_at;
     core::boot_instant m_last_asked{};
     core::boot_instant m_promoted_at{};
-    /// What the chosen database said before its promotion was asked for.
-    sql::database_status m_before_promotion;
+    /// An earlier promotion may have been asked for than the one under way.
+    bool m_promoted_before{false};
     std::map<std::string, answer> m_answers;
     /// Databases that don't run, with the instant of the question.
     std::map<std::string, core::boot_instant> m_down_at;
--- a/src/plantainward/succession/leadership.hpp
+++ b/src/plantainward/succession/leadership.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <plantainward/core/enum_names.hpp>
+#include <plantainward/upstream/log_point.hpp>
 
 #include <cstdint>
 #include <string>
@@ -35,11 +36,17 @@
     std::uint64_t born_ms{0};
     /// Host that wrote the record.
     std::string writer;
+    /// The term that a settled primary leads; of a database that is being
+    /// promoted, its term before. 0: not known.
+    upstream::term_number term{0};
+    /// A promotion may have been asked for since the record was settled last,
+    /// of this database or of an earlier one.
+    bool promoting{false};
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(version, phase, primary, born_ms, writer);
+        archive(version, phase, primary, born_ms, writer, term, promoting);
     }
 
     bool operator==(const leadership&) const = default; // NOLINT
--- a/tests/succession/claim_tests.cpp
+++ b/tests/succession/claim_tests.cpp
@@ -273,6 +273,114 @@
     STRCMP_EQUAL("r2", write->record.primary.c_str());
 }
 
+// Guards against the return to a primary that a promotion may have replaced.
+TEST(claim, after_a_promotion_of_unknown_end_the_old_primary_is_not_kept)
+{
+    claim_case c(claim_cause::lost);
+    c.write_claim();
+    c.aware = 3;
+    c.tick_after(millis(1));
+    c.now += millis(5);
+    c.all_answer();
+    c.tick_after(millis(1));
+    c.one.on_write(write_end::written, 9, c.now);
+    c.one.on_promote(promote_end::unknown, c.now);
+    c.tick_after(millis(2600));
+    CHECK(c.one.stage() == claim_stage::gathering);
+    c.now += millis(60);
+    c.one.on_status("p", c.now, status(true, 3, {3, 14}));
+    c.one.on_status("r1", c.now, status(false, 3, {3, 10}));
+    const auto actions = c.tick_after(millis(400));
+    const auto* write = find<write_action>(actions);
+    CHECK(write != nullptr);
+    CHECK(write->record.phase == leadership_phase::claimed);
+}
+
+TEST(claim, after_a_rejected_promotion_the_old_primary_may_go_on)
+{
+    claim_case c(claim_cause::lost);
+    c.write_claim();
+    c.aware = 3;
+    c.tick_after(millis(1));
+    c.now += millis(5);
+    c.all_answer();
+    c.tick_after(millis(1));
+    c.one.on_write(write_end::written, 9, c.now);
+    c.one.on_promote(promote_end::rejected, c.now);
+    c.now += millis(60);
+    c.all_answer();
+    c.one.on_status("p", c.now, status(true, 3, {3, 14}));
+    const auto actions = c.tick_after(millis(1));
+    const auto* write = find<write_action>(actions);
+    CHECK(write != nullptr);
+    CHECK(write->record.phase == leadership_phase::settled);
+    STRCMP_EQUAL("p", write->record.primary.c_str());
+}
+
+TEST(claim, a_takeover_settles_on_what_the_earlier_claim_promoted)
+{
+    claim_case c(claim_cause::abandoned);
+    c.one =
+        claim("me", {5, leadership_phase::claimed, "r2", 7, "other", 3, true},
+              claim_cause::abandoned, c.now);
+    c.write_claim();
+    c.aware = 3;
+    c.tick_after(millis(1));
+    c.now += millis(5);
+    c.one.on_status("p", c.now, status(true, 3, {3, 20}));
+    c.one.on_status("r2", c.now, status(true, 4, {4, 13}));
+    const auto actions = c.tick_after(millis(1));
+    const auto* write = find<write_action>(actions);
+    CHECK(write != nullptr);
+    CHECK(write->record.phase == leadership_phase::settled);
+    STRCMP_EQUAL("r2", write->record.primary.c_str());
+    LONGS_EQUAL(4, write->record.term);
+}
+
+TEST(claim, a_takeover_of_a_claim_that_promoted_nothing_may_keep_the_primary)
+{
+    claim_case c(claim_cause::abandoned);
+    c.one =
+        claim("me", {5, leadership_phase::claimed, "p", 7, "other", 3, false},
+              claim_cause::abandoned, c.now);
+    c.write_claim();
+    c.aware = 3;
+    c.tick_after(millis(1));
+    c.now += millis(5);
+    c.all_answer();
+    c.one.on_status("p", c.now, status(true, 3, {3, 20}));
+    const auto actions = c.tick_after(millis(1));
+    const auto* write = find<write_action>(actions);
+    CHECK(write != nullptr);
+    CHECK(write->record.phase == leadership_phase::settled);
+    STRCMP_EQUAL("p", write->record.primary.c_str());
+}
+
+// Guards against a promotion that the next host to claim does not hear of.
+TEST(claim, a_record_tells_of_a_possible_promotion_until_it_is_settled)
+{
+    claim_case c(claim_cause::abandoned);
+    c.one =
+        claim("me", {5, leadership_phase::claimed, "r2", 7, "other", 3, true},
+              claim_cause::abandoned, c.now);
+    const auto claiming = c.one.start();
+    CHECK(find<write_action>(claiming)->record.promoting);
+    STRCMP_EQUAL("r2", find<write_action>(claiming)->record.primary.c_str());
+    c.one.on_write(write_end::written, 6, c.now);
+    c.aware = 3;
+    c.tick_after(millis(1));
+    c.now += millis(5);
+    c.all_answer();
+    const auto promoting = c.tick_after(millis(1));
+    CHECK(find<write_action>(promoting)->record.promoting);
+    c.one.on_write(write_end::written, 9, c.now);
+    c.now += millis(400);
+    c.one.on_status("r2", c.now, status(true, 4, {3, 12}));
+    const auto settling = c.tick_after(millis(1));
+    CHECK_FALSE(find<write_action>(settling)->record.promoting);
+    LONGS_EQUAL(4, find<write_action>(settling)->record.term);
+}
+
 TEST(claim, a_rejected_database_is_passed_over_for_the_next)
 {
     claim_case c(claim_cause::lost);
