A commit in an earlier term than the recorded one is not called done

The record carries the term that its primary leads. A write whose log point has a lower term ran before the promotion took effect and will be rolled back; its caller is told that the end is unknown. This holds whatever was believed of the database, so a mistake of the same class in a claim can't reach a caller.

a_commit_in_a_term_before_the_recorded_one_is_not_called_done is red without it.

--- a/src/plantainward/entry/entry_host.cpp
+++ b/src/plantainward/entry/entry_host.cpp
@@ -274,9 +274,9 @@
 {
     const auto& record = one.lease().record();
     const auto until = one.lease().valid_until();
-    auto made = m_pooler.set_primary(one.service(),
-                                     until ? record.primary : std::string(),
-                                     until.value_or(core::boot_instant{}), now);
+    auto made = m_pooler.set_primary(
+        one.service(), until ? record.primary : std::string(),
+        until.value_or(core::boot_instant{}), now, record.term);
     std::move(made.begin(), made.end(), std::back_inserter(out.pooling));
 }
 
--- a/src/plantainward/pooling/pooler.cpp
+++ b/src/plantainward/pooling/pooler.cpp
@@ -120,13 +120,15 @@
 
 actions pooler::set_primary(const std::string& service,
                             const std::string& upstream,
-                            core::boot_instant until, core::boot_instant now)
+                            core::boot_instant until, core::boot_instant now,
+                            upstream::term_number term)
 {
     m_now = now;
     auto& known = m_services[service];
     const bool opens = !known.has_primary(now) || known.primary != upstream;
     known.primary = upstream;
     known.primary_until = until;
+    known.primary_term = term;
     if (opens && known.has_primary(now))
         serve_queue();
     return take();
--- a/src/plantainward/pooling/pooler.hpp
+++ b/src/plantainward/pooling/pooler.hpp
@@ -98,9 +98,11 @@
     /// A draining host takes no new work of other hosts.
     void set_draining() { m_draining = true; }
 
-    /// Names the primary of a service and until when it may be used.
+    /// Names the primary of a service, until when it may be used, and the term
+    /// that it leads; 0 when that is not known.
     actions set_primary(const std::string& service, const std::string& upstream,
-                        core::boot_instant until, core::boot_instant now);
+                        core::boot_instant until, core::boot_instant now,
+                        upstream::term_number term = 0);
 
     /// While isolated, what needs a primary is refused at once: no database
     /// can be proved to be the primary, and other hosts can serve the caller.
--- a/src/plantainward/pooling/pooler_connections.cpp
+++ b/src/plantainward/pooling/pooler_connections.cpp
@@ -341,7 +341,11 @@
         service.marks.add({one.sent_at, *answer.position});
     const bool committed =
         what.is_final && (!who.transaction || !who.transaction->read_only);
-    const bool is_current = service.is_primary(one.upstream, m_now);
+    // A primary that was replaced and is promoted again leads its old term
+    // until then; what it commits before is rolled back.
+    const bool is_current =
+        service.is_primary(one.upstream, m_now) &&
+        (!answer.position || answer.position->term >= service.primary_term);
     if (committed && answer.position)
         who.own_commit = freshness::mark{m_now, *answer.position};
     const bool stays = who.transaction && !ends_transaction(what);
--- a/src/plantainward/pooling/service_view.hpp
+++ b/src/plantainward/pooling/service_view.hpp
@@ -35,6 +35,8 @@
     std::string primary;
     /// Until when this host may use it.
     core::boot_instant primary_until{};
+    /// Term that it leads; 0: not known.
+    upstream::term_number primary_term{0};
 
     bool has_primary(core::boot_instant now) const
     {
--- a/tests/pooling/pooler_tests.cpp
+++ b/tests/pooling/pooler_tests.cpp
@@ -96,6 +96,26 @@
     CHECK(c.replies.back().reply.error == error_kind::outcome_unknown);
 }
 
+// Guards against acknowledged writes at a primary whose promotion has not
+// taken effect.
+TEST(pooler, a_commit_in_a_term_before_the_recorded_one_is_not_called_done)
+{
+    c.take(c.pool.set_primary("ledger", "p", c.now + millis(1000), c.now, 2));
+    c.open_session(1, "cards");
+    c.ask(1, statement_kind::write, "WRITE a 1");
+    c.succeed(c.let_open());
+    CHECK(c.replies.back().reply.error == error_kind::outcome_unknown);
+}
+
+TEST(pooler, a_commit_in_the_recorded_term_is_done)
+{
+    c.take(c.pool.set_primary("ledger", "p", c.now + millis(1000), c.now, 1));
+    c.open_session(1, "cards");
+    c.ask(1, statement_kind::write, "WRITE a 1");
+    c.succeed(c.let_open());
+    CHECK_FALSE(c.replies.back().reply.error.has_value());
+}
+
 TEST(pooler, a_lost_write_is_unknown_and_never_sent_again)
 {
     c.open_session(1, "cards");
