Simulated fleet judges promotions at their arrival

Promotion calls are under way: slow, lost, answered late; a call that left its sender arrives whatever becomes of the sender. Conditional writes can be slow, lose their answers, take effect late or be refused. The feed of the databases can differ between hosts, and a database that left comes back as a new one.

--- a/tests/support/fleet_world.cpp
+++ b/tests/support/fleet_world.cpp
@@ -21,6 +21,7 @@
         made.log.push_back({{1, 1}, "start", "0"});
     }
     m_leader = "db-a";
+    m_checker.set_store(store_name);
     for (std::size_t i = 0; i < hosts; ++i)
         m_hosts[host_name(i)];
     for (std::size_t i = 0; i < hosts; ++i)
@@ -103,6 +104,10 @@
 
 void fleet_world::cut(const std::string& a, const std::string& b, bool is_cut)
 {
+    if (m_hosts.contains(a))
+        disturb(a, "cut from " + b, is_cut);
+    if (m_hosts.contains(b))
+        disturb(b, "cut from " + a, is_cut);
     if (is_cut)
         m_cuts.emplace(a, b);
     else
@@ -121,6 +126,7 @@
 {
     auto& one = m_hosts.at(host);
     one.frozen_until = std::max(one.frozen_until, m_now + time);
+    m_checker.disturb_until(host, one.frozen_until);
     at(one.frozen_until, [this, host] {
         auto& thawed = m_hosts.at(host);
         if (m_now < thawed.frozen_until)
@@ -132,6 +138,10 @@
 
 void fleet_world::restart(const std::string& host)
 {
+    m_checker.disturb_until(host, m_now);
+    std::erase_if(m_promotions, [&](const auto& one) {
+        return one.second.what.host == host && !one.second.is_sent;
+    });
     std::erase_if(m_connections,
                   [&](const auto& one) { return one.first.first == host; });
     for (auto it = m_calls.begin(); it != m_calls.end();)
@@ -149,7 +159,7 @@
         entry::entry_identity{name, domain_of(name), one.incarnation});
     tell_members();
     run(name, one.host->on_routing(routing(), m_now));
-    run(name, one.host->on_upstreams(upstreams(), 1, m_now));
+    run(name, one.host->on_upstreams(upstreams(), m_upstreams_version, m_now));
     tick_host(name, one.incarnation);
 }
 
@@ -198,16 +208,6 @@
     return all;
 }
 
-void fleet_world::set_leaving(const std::string& id)
-{
-    m_databases.at(id).what.leaving = true;
-    for (auto& [name, one] : m_hosts)
-        on_host(name, link_delay, [this, name = name] {
-            run(name,
-                m_hosts.at(name).host->on_upstreams(upstreams(), 2, m_now));
-        });
-}
-
 void fleet_world::run(const std::string& name,
                       const entry::entry_actions& actions)
 {
@@ -327,12 +327,15 @@
         if (!m_store_up || is_cut(name, store_name))
             return;
         const auto asked = m_now;
-        after(store_delay, [this, name, asked] {
-            on_host(name, link_delay, [this, name, asked, rows = m_records] {
-                run(name,
-                    m_hosts.at(name).host->on_records(rows, asked, m_now));
+        after(
+            draw(m_store_delay.value_or(time_range{store_delay, store_delay})),
+            [this, name, asked] {
+                on_host(name, link_delay,
+                        [this, name, asked, rows = m_records] {
+                            run(name, m_hosts.at(name).host->on_records(
+                                          rows, asked, m_now));
+                        });
             });
-        });
     }
     else if (std::holds_alternative<entry::remove_member_action>(action))
         ++m_history.removed_members;
@@ -341,12 +344,14 @@
         if (m_lose_member_reads || !m_store_up || is_cut(name, store_name))
             return;
         const auto asked = m_now;
-        after(store_delay, [this, name, asked] {
-            on_host(name, link_delay, [this, name, asked] {
-                m_hosts.at(name).host->on_members(members(), m_store_version,
-                                                  asked, m_now);
+        after(
+            draw(m_store_delay.value_or(time_range{store_delay, store_delay})),
+            [this, name, asked] {
+                on_host(name, link_delay, [this, name, asked] {
+                    m_hosts.at(name).host->on_members(
+                        members(), m_store_version, asked, m_now);
+                });
             });
-        });
     }
     else if (const auto* write =
                  std::get_if<entry::write_record_action>(&action))
@@ -381,47 +386,6 @@
     }
 }
 
-void fleet_world::write_record(const std::string& name,
-                               const entry::write_record_action& action)
-{
-    const auto sent = m_now;
-    const auto answer = [this, name, sent, service = action.service](
-                            succession::write_end end, std::uint64_t version) {
-        on_host(name, link_delay, [this, name, sent, service, end, version] {
-            run(name, m_hosts.at(name).host->on_record_written(
-                          service, end, version, sent, m_now));
-        });
-    };
-    if (!m_store_up || is_cut(name, store_name))
-        return answer(succession::write_end::unknown, 0);
-    after(store_delay, [this, action, answer] {
-        auto& row = m_records[action.service];
-        if (row.version != action.write.expected)
-            return answer(succession::write_end::conflict, 0);
-        row = action.write.record;
-        row.version = ++m_store_version;
-        answer(succession::write_end::written, row.version);
-    });
-}
-
-void fleet_world::promote(const std::string& name,
-                          const entry::promote_upstream_action& action)
-{
-    if (action.promote.token <= m_last_token)
-        m_history.faults.push_back("a promotion with an old token by " + name);
-    m_last_token = std::max(m_last_token, action.promote.token);
-    const auto id = action.promote.upstream;
-    const bool runs = m_databases.at(id).up;
-    if (runs && id != m_leader)
-        after(promote_time, [this, id] { take_lead(id); });
-    const auto end = m_lose_promotions ? succession::promote_end::unknown
-                     : runs            ? succession::promote_end::accepted
-                                       : succession::promote_end::rejected;
-    on_host(name, link_delay * 2, [this, name, end] {
-        run(name, m_hosts.at(name).host->on_promoted(service_name, end, m_now));
-    });
-}
-
 void fleet_world::submit(const std::string& host, const std::string& database,
                          const std::string& text,
                          std::function<void(const sql::reply&)> done)
@@ -465,6 +429,8 @@
                    return;
                }
                ++m_history.served;
+               if (const auto broken = m_checker.on_acknowledged(value, host))
+                   m_history.faults.push_back(*broken);
                const auto& log = m_databases.at(m_leader).log;
                const bool is_kept =
                    std::any_of(log.begin(), log.end(), [&](const auto& one) {
--- a/tests/support/fleet_world.hpp
+++ b/tests/support/fleet_world.hpp
@@ -2,6 +2,8 @@
 
 #include <plantainward/entry/entry_host.hpp>
 
+#include <support/promotion_checker.hpp>
+
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -72,6 +74,13 @@
     millis longest_gap{0};
 };
 
+/// Bounds of a random time, both included.
+struct time_range
+{
+    millis least{0};
+    millis most{0};
+};
+
 /// Hosts, databases, the table service and callers under a simulated clock.
 ///
 /// The real decisions of every host run against databases in memory; links
@@ -99,11 +108,45 @@
     void restart(const std::string& host);
     void crash_database(const std::string& id);
     void recover_database(const std::string& id);
-    void set_store_up(bool up) { m_store_up = up; }
+    void set_store_up(bool up);
     void set_leaving(const std::string& id);
+    /// Starts a new, empty database under the id of one that has left; it
+    /// follows the primary.
+    void replace_database(const std::string& id);
     void lose_member_reads(bool lose) { m_lose_member_reads = lose; }
     void lose_promotion_answers(bool lose) { m_lose_promotions = lose; }
 
+    /// Time until the table service has done a read or a write.
+    void set_store_delay(const time_range& delay);
+    void reset_store_delay();
+    /// Writes of records are done, and their answers are lost.
+    void lose_write_answers(bool lose);
+    /// Writes of records are done long after their hosts gave them up.
+    void delay_writes(bool delay);
+    /// Writes of records are turned away.
+    void refuse_writes(bool refuse);
+    /// Time until a promotion call arrives; a call is sent after its first
+    /// half and is then beyond its sender's reach.
+    void set_promotion_delay(const time_range& delay)
+    {
+        m_promotion_delay = delay;
+    }
+    void lose_promotion_calls(bool lose) { m_lose_calls = lose; }
+    void cut_platform(const std::string& host, bool is_cut = true);
+    /// Time until a host hears of a change of the databases.
+    void set_feed_delay(const time_range& delay) { m_feed_delay = delay; }
+    /// The same for one host only.
+    void set_feed_delay(const std::string& host, millis delay)
+    {
+        m_feed_delays[host] = delay;
+    }
+
+    /// The sender of a promotion call that has not arrived; empty without one.
+    std::string promoting_host() const;
+    /// The host that has written that it replaces the primary; empty without.
+    std::string claiming_host();
+    const promotion_checker& promotions() const { return m_checker; }
+
     /// Runs one statement through a host and waits for its answer.
     sql::reply call(const std::string& host, const std::string& database,
                     const std::string& text);
@@ -148,12 +191,20 @@
         pooling::session_id session{0};
     };
 
+    struct promotion_under_way
+    {
+        promotion_seen what;
+        bool is_sent{false};
+    };
+
     struct pending_call
     {
         std::function<void(const sql::reply&)> done;
     };
 
     using step = std::function<void()>;
+    using promotion_answer =
+        std::function<void(succession::promote_end end, millis delay)>;
 
     void at(boot_instant when, step what);
     void after(millis delay, step what) { at(m_now + delay, std::move(what)); }
@@ -188,7 +239,12 @@
                       const entry::write_record_action& action);
     void promote(const std::string& name,
                  const entry::promote_upstream_action& action);
+    void arrive_promotion(std::uint64_t call, const promotion_answer& answer);
     void take_lead(const std::string& id);
+    void tell_upstreams();
+    void tell_upstreams(const std::string& name, millis delay);
+    millis draw(const time_range& range);
+    void disturb(const std::string& name, const std::string& why, bool begins);
     void load_step(millis interval);
     void issue_write(const std::string& host);
     void issue_read(const std::string& host, const std::string& database);
@@ -215,8 +271,19 @@
     std::uint64_t m_store_version{10};
     std::map<std::string, succession::leadership> m_records;
     std::string m_leader;
-    std::uint64_t m_last_token{0};
     bool m_lose_promotions{false};
+    bool m_lose_calls{false};
+    bool m_lose_write_answers{false};
+    bool m_delay_writes{false};
+    bool m_refuse_writes{false};
+    std::optional<time_range> m_store_delay;
+    time_range m_promotion_delay;
+    std::optional<time_range> m_feed_delay;
+    std::map<std::string, millis> m_feed_delays;
+    std::uint64_t m_upstreams_version{1};
+    std::uint64_t m_last_promotion{0};
+    std::map<std::uint64_t, promotion_under_way> m_promotions;
+    promotion_checker m_checker;
     bool m_lose_member_reads{false};
     bool m_load{false};
     pooling::session_id m_last_session{0};
--- a/tests/support/fleet_world_databases.cpp
+++ b/tests/support/fleet_world_databases.cpp
@@ -141,6 +141,7 @@
     {
         one.point = {database.term, database.end().position + 1};
         database.log.push_back(one);
+        m_checker.on_commit(one.value, database.what.id, m_leader, m_now);
     }
     connection.pending.clear();
     answer.position = database.end();
