HTTP client: a call that timed out resets its connection

Cause: the stream closes its socket itself when the time is up, before the option for a reset was set, so a call that timed out ended with an orderly close and the kernel went on delivering what it still held of the request. Change: the option is set before the request is written and taken back with the answer; so a close() during an exchange resets as well.

--- a/src/plantainward/http/client.cpp
+++ b/src/plantainward/http/client.cpp
@@ -103,6 +103,7 @@
         m_request.body() = std::move(message.body);
         m_request.prepare_payload();
         m_stream.expires_after(timeout);
+        set_reset_on_close(true);
         beast_http::async_write(
             m_stream, m_request,
             [this, self = shared_from_this()](error_code error, std::size_t n) {
@@ -110,6 +111,15 @@
             });
     }
 
+    // A request that was given up must not arrive later: what a broken path
+    // still holds of it is discarded with a reset. The stream closes its socket
+    // itself when the time is up, so this is set before anything is written.
+    void set_reset_on_close(bool on)
+    {
+        error_code ignored;
+        m_stream.socket().set_option(asio::socket_base::linger(on, 0), ignored);
+    }
+
     // What is written on a connection that the server has closed may be lost
     // without a trace, so the end of the stream is looked for first.
     bool is_closed_by_server()
@@ -135,6 +145,7 @@
     {
         if (error)
             return finish_failed(error, true);
+        set_reset_on_close(false);
         auto message = m_parser->release();
         if (!message.keep_alive())
             shut();
@@ -148,13 +159,8 @@
         finish(std::move(result));
     }
 
-    // A request that was given up must not arrive later: what a broken path
-    // still holds of it is discarded with a reset.
     void finish_failed(error_code error, bool may_have_arrived)
     {
-        error_code ignored;
-        m_stream.socket().set_option(asio::socket_base::linger(true, 0),
-                                     ignored);
         shut();
         if (error == beast::error::timeout)
             return finish({exchange_end::timed_out, 0, {}});
