HTTP client: one limit for a whole call

Cause: the time of a call was given to connecting, again to the exchange, and after a kept connection that the server had closed to both once more; a process that was held up sent a request whose time had passed already. Change: the deadline is set when the call is made and looked at before each step that sends; a call of which no byte left ends as not_sent instead of timed_out. Tests in http/client_tests; seen red on, twice each: connecting and the exchange share one limit, the second attempt shares the limit (2.5 s instead of 1.5 s), a held-up call on a new and on a kept connection (sent after its limit). A call that could not connect within its limit was green before.

--- a/src/plantainward/http/client.cpp
+++ b/src/plantainward/http/client.cpp
@@ -1,5 +1,7 @@
 #include <plantainward/http/client.hpp>
 
+#include <plantainward/core/boot_clock.hpp>
+
 #include <deque>
 #include <map>
 #include <mutex>
@@ -37,23 +39,37 @@
     }
 
     void open(core::millis timeout, std::function<void(bool)> handler) override
+    {
+        open_until(core::boot_clock::now() + timeout, std::move(handler));
+    }
+
+    void exchange(request message, core::millis timeout,
+                  exchange_handler handler) override
+    {
+        exchange_until(std::move(message), core::boot_clock::now() + timeout,
+                       std::move(handler));
+    }
+
+    void open_until(core::boot_instant deadline,
+                    std::function<void(bool)> handler)
     {
         asio::dispatch(m_stream.get_executor(),
-                       [this, self = shared_from_this(), timeout,
+                       [this, self = shared_from_this(), deadline,
                         handler = std::move(handler)]() mutable {
-                           start_open(timeout, std::move(handler));
+                           start_open(deadline, std::move(handler));
                        });
     }
 
-    void exchange(request message, core::millis timeout,
-                  exchange_handler handler) override
+    void exchange_until(request message, core::boot_instant deadline,
+                        exchange_handler handler)
     {
-        asio::dispatch(
-            m_stream.get_executor(),
-            [this, self = shared_from_this(), message = std::move(message),
-             timeout, handler = std::move(handler)]() mutable {
-                start_exchange(std::move(message), timeout, std::move(handler));
-            });
+        asio::dispatch(m_stream.get_executor(),
+                       [this, self = shared_from_this(),
+                        message = std::move(message), deadline,
+                        handler = std::move(handler)]() mutable {
+                           start_exchange(std::move(message), deadline,
+                                          std::move(handler));
+                       });
     }
 
     void close() override
@@ -63,13 +79,24 @@
     }
 
 private:
-    void start_open(core::millis timeout, std::function<void(bool)> handler)
+    // The stream's own timer fires late in a process that was held up, so the
+    // deadline is looked at again before each step that sends.
+    bool start_timer(core::boot_instant deadline)
+    {
+        const auto left = deadline - core::boot_clock::now();
+        if (left <= left.zero())
+            return false;
+        m_stream.expires_after(left);
+        return true;
+    }
+
+    void start_open(core::boot_instant deadline,
+                    std::function<void(bool)> handler)
     {
         error_code bad_address;
         const auto ip = asio::ip::make_address(m_where.ip, bad_address);
-        if (bad_address)
+        if (bad_address || !start_timer(deadline))
             return handler(false);
-        m_stream.expires_after(timeout);
         m_stream.async_connect(
             asio::ip::tcp::endpoint(ip, m_where.port),
             [this, self = shared_from_this(),
@@ -85,13 +112,18 @@
             });
     }
 
-    void start_exchange(request message, core::millis timeout,
+    void start_exchange(request message, core::boot_instant deadline,
                         exchange_handler handler)
     {
         if (m_open && is_closed_by_server())
             shut();
         if (!m_open)
             return handler({exchange_end::not_sent, 0, {}});
+        if (!start_timer(deadline))
+        {
+            shut();
+            return handler({exchange_end::not_sent, 0, {}});
+        }
         m_handler = std::move(handler);
         m_request = {};
         m_request.version(11);
@@ -102,7 +134,6 @@
             m_request.set(name, value);
         m_request.body() = std::move(message.body);
         m_request.prepare_payload();
-        m_stream.expires_after(timeout);
         set_reset_on_close(true);
         beast_http::async_write(
             m_stream, m_request,
@@ -162,9 +193,10 @@
     void finish_failed(error_code error, bool may_have_arrived)
     {
         shut();
-        if (error == beast::error::timeout)
-            return finish({exchange_end::timed_out, 0, {}});
-        finish({may_have_arrived ? exchange_end::lost : exchange_end::not_sent,
+        if (!may_have_arrived)
+            return finish({exchange_end::not_sent, 0, {}});
+        finish({error == beast::error::timeout ? exchange_end::timed_out
+                                               : exchange_end::lost,
                 0,
                 {}});
     }
@@ -203,14 +235,15 @@
     void send(const core::address& where, request message, core::millis timeout,
               exchange_handler handler) override
     {
+        const auto deadline = core::boot_clock::now() + timeout;
         if (auto kept = take(where))
-            return start(where, std::move(kept), std::move(message), timeout,
+            return start(where, std::move(kept), std::move(message), deadline,
                          std::move(handler), true);
-        connect(where, std::move(message), timeout, std::move(handler));
+        connect(where, std::move(message), deadline, std::move(handler));
     }
 
 private:
-    using connection = std::shared_ptr<client_connection>;
+    using connection = std::shared_ptr<tcp_client_connection>;
 
     connection take(const core::address& where)
     {
@@ -233,33 +266,34 @@
     }
 
     void connect(const core::address& where, request message,
-                 core::millis timeout, exchange_handler handler)
+                 core::boot_instant deadline, exchange_handler handler)
     {
-        auto made = client_connection::create(m_io, where);
-        made->open(timeout, [this, self = shared_from_this(), made, where,
-                             message = std::move(message), timeout,
-                             handler = std::move(handler)](bool ok) mutable {
-            if (!ok)
-                return handler({exchange_end::not_sent, 0, {}});
-            start(where, made, std::move(message), timeout, std::move(handler),
-                  false);
-        });
+        auto made = std::make_shared<tcp_client_connection>(m_io, where);
+        made->open_until(
+            deadline, [this, self = shared_from_this(), made, where,
+                       message = std::move(message), deadline,
+                       handler = std::move(handler)](bool ok) mutable {
+                if (!ok)
+                    return handler({exchange_end::not_sent, 0, {}});
+                start(where, made, std::move(message), deadline,
+                      std::move(handler), false);
+            });
     }
 
     // A kept connection may have been closed by the server meanwhile; nothing
     // was sent then and a new connection is tried once.
     void start(const core::address& where, connection one, request message,
-               core::millis timeout, exchange_handler handler, bool kept)
+               core::boot_instant deadline, exchange_handler handler, bool kept)
     {
         auto copy = kept ? std::optional(message) : std::nullopt;
         auto* raw = one.get();
-        raw->exchange(
-            std::move(message), timeout,
+        raw->exchange_until(
+            std::move(message), deadline,
             [this, self = shared_from_this(), where, one = std::move(one),
-             copy = std::move(copy), timeout,
+             copy = std::move(copy), deadline,
              handler = std::move(handler)](exchange_result result) mutable {
                 if (result.end == exchange_end::not_sent && copy)
-                    return connect(where, std::move(*copy), timeout,
+                    return connect(where, std::move(*copy), deadline,
                                    std::move(handler));
                 if (result.end == exchange_end::answered)
                     keep(where, std::move(one));
--- a/src/plantainward/http/client.hpp
+++ b/src/plantainward/http/client.hpp
@@ -52,11 +52,13 @@
 
     virtual ~client_connection() = default;
 
-    /// Connects; the handler gets whether it worked.
+    /// Connects; the handler gets whether it worked. The time counts from this
+    /// call.
     virtual void open(core::millis timeout,
                       std::function<void(bool)> handler) = 0;
 
-    /// Sends one request and waits for its answer.
+    /// Sends one request and waits for its answer. The time counts from this
+    /// call; nothing is sent after it has passed.
     virtual void exchange(request message, core::millis timeout,
                           exchange_handler handler) = 0;
 
@@ -75,6 +77,12 @@
     virtual ~client() = default;
 
     /// Sends one request over a kept or a new connection.
+    ///
+    /// The time counts from this call and is the limit of all of it:
+    /// connecting, the second attempt after a kept connection that the server
+    /// had closed, and the exchange. When it passes, the connection is reset,
+    /// so what was not delivered by then is not delivered later; the call ends
+    /// as `timed_out`, or as `not_sent` when no byte had left.
     virtual void send(const core::address& where, request message,
                       core::millis timeout, exchange_handler handler) = 0;
 };
--- a/tests/http/client_tests.cpp
+++ b/tests/http/client_tests.cpp
@@ -9,6 +9,8 @@
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
 
 #include <CppUTest/TestHarness.h>
 
@@ -23,6 +25,10 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
+// Linux sends an unanswered connection request again after 1 s; a call with
+// this limit is connected by then and has some time left.
+constexpr millis limit{1500};
+
 // Delay of the timers and threads of a busy machine.
 constexpr millis tolerance{500};
 
@@ -73,12 +79,13 @@
 class manual_server
 {
 public:
-    manual_server() : m_acceptor(m_io)
+    // With no backlog one connection that isn't accepted keeps out others.
+    explicit manual_server(int backlog = 16) : m_acceptor(m_io)
     {
         const tcp::endpoint any(asio::ip::address_v4::loopback(), 0);
         m_acceptor.open(any.protocol());
         m_acceptor.bind(any);
-        m_acceptor.listen();
+        m_acceptor.listen(backlog);
     }
 
     core::address where() const
@@ -86,13 +93,29 @@
         return {"127.0.0.1", m_acceptor.local_endpoint().port()};
     }
 
-    std::optional<tcp::socket> accept()
+    std::optional<tcp::socket> accept(millis wait = patience)
     {
-        if (!is_readable(m_acceptor.native_handle(), patience))
+        if (!is_readable(m_acceptor.native_handle(), wait))
             return std::nullopt;
         return m_acceptor.accept();
     }
 
+    // Makes later connections wait until this one is accepted.
+    tcp::socket fill_backlog()
+    {
+        tcp::socket filler(m_io);
+        filler.connect(m_acceptor.local_endpoint());
+        return filler;
+    }
+
+    static void answer(tcp::socket& to)
+    {
+        std::string request;
+        LONGS_EQUAL(read_end::data, read(to, request, patience));
+        asio::write(to, asio::buffer(std::string(
+                            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")));
+    }
+
 private:
     asio::io_context m_io;
     tcp::acceptor m_acceptor;
@@ -144,7 +167,7 @@
     millis m_took{0};
 };
 
-http::request question(std::string body)
+http::request question(std::string body = {})
 {
     return {"POST", "/question", {}, std::move(body)};
 }
@@ -166,8 +189,109 @@
         io.stop();
         thread.join();
     }
+
+    // Has one call answered, so its connection is kept.
+    tcp::socket keep_connection(manual_server & server)
+    {
+        call_watch watch;
+        client->send(server.where(), question(), limit, watch.handler());
+        auto accepted = server.accept();
+        CHECK(accepted.has_value());
+        manual_server::answer(*accepted);
+        LONGS_EQUAL(exchange_end::answered, watch.wait());
+        return std::move(*accepted);
+    }
+
+    // Keeps the thread of the client busy for a while.
+    void hold_up(millis time)
+    {
+        asio::post(io, [time] { std::this_thread::sleep_for(time); });
+    }
+
+    // A call that connects after 1 s and is never answered.
+    void check_shared_limit(manual_server & server)
+    {
+        const auto filler = server.fill_backlog();
+        call_watch watch;
+        client->send(server.where(), question(), limit, watch.handler());
+        std::this_thread::sleep_for(millis(500));
+        const auto unused = server.accept();
+        auto accepted = server.accept();
+        CHECK(accepted.has_value());
+        std::string text;
+        LONGS_EQUAL(read_end::data, read(*accepted, text, patience));
+        LONGS_EQUAL(exchange_end::timed_out, watch.wait());
+        CHECK(watch.took() >= limit);
+        CHECK(watch.took() < limit + tolerance);
+        LONGS_EQUAL(read_end::reset, read_all(*accepted, text, patience));
+        LONGS_EQUAL(1, watch.count());
+    }
 };
 
+// Guards against a limit that starts anew once the connection stands.
+TEST(client, connecting_and_the_exchange_share_one_limit)
+{
+    manual_server server(0);
+    check_shared_limit(server);
+}
+
+// Guards against a limit that starts anew with the second attempt.
+TEST(client, the_second_attempt_after_a_kept_connection_shares_the_limit)
+{
+    manual_server server(0);
+    keep_connection(server).close();
+    std::this_thread::sleep_for(millis(50));
+    check_shared_limit(server);
+}
+
+// Guards against a request that leaves late from a process that was held up.
+TEST(client, a_call_held_up_past_its_limit_sends_nothing)
+{
+    manual_server server;
+    hold_up(millis(400));
+    call_watch watch;
+    client->send(server.where(), question(), millis(100), watch.handler());
+    LONGS_EQUAL(exchange_end::not_sent, watch.wait());
+    std::string text;
+    if (auto accepted = server.accept(millis(300)))
+        read_all(*accepted, text, millis(300));
+    STRCMP_EQUAL("", text.c_str());
+    LONGS_EQUAL(1, watch.count());
+}
+
+// Guards against the same on a connection that stands already.
+TEST(client, a_call_held_up_past_its_limit_sends_nothing_on_a_kept_connection)
+{
+    manual_server server;
+    auto kept = keep_connection(server);
+    hold_up(millis(400));
+    call_watch watch;
+    client->send(server.where(), question(), millis(100), watch.handler());
+    LONGS_EQUAL(exchange_end::not_sent, watch.wait());
+    std::string text;
+    read_all(kept, text, millis(300));
+    if (auto accepted = server.accept(millis(300)))
+        read_all(*accepted, text, millis(300));
+    STRCMP_EQUAL("", text.c_str());
+    LONGS_EQUAL(1, watch.count());
+}
+
+TEST(client, a_call_that_could_not_connect_within_its_limit_sends_nothing_later)
+{
+    manual_server server(0);
+    const auto filler = server.fill_backlog();
+    call_watch watch;
+    client->send(server.where(), question(), millis(300), watch.handler());
+    LONGS_EQUAL(exchange_end::not_sent, watch.wait());
+    CHECK(watch.took() < millis(300) + tolerance);
+    const auto unused = server.accept();
+    std::string text;
+    if (auto accepted = server.accept(limit))
+        read_all(*accepted, text, limit);
+    STRCMP_EQUAL("", text.c_str());
+    LONGS_EQUAL(1, watch.count());
+}
+
 // Guards against a request that still arrives after the call has timed out.
 TEST(client, what_a_server_has_not_read_within_the_limit_is_discarded)
 {
