HTTP client: a call can be aborted

send() returns a handle; its abort resets the connection, so what was not delivered yet is not delivered, and the call ends as lost or not_sent. The handler runs once, from the I/O context, never inside send() or abort(). Tests in http/client_tests.

--- a/src/plantainward/http/client.cpp
+++ b/src/plantainward/http/client.cpp
@@ -30,6 +30,35 @@
 
 constexpr std::size_t max_answer_bytes = std::size_t{64} * 1024 * 1024;
 
+class tcp_client_connection;
+
+// What a call and its handle share.
+class running_call
+{
+public:
+    // Tells which connection works for the call from now on.
+    void use(const std::shared_ptr<tcp_client_connection>& connection)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_connection = connection;
+    }
+
+    bool is_aborted() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_aborted;
+    }
+
+    static void abort(const std::shared_ptr<running_call>& one);
+
+private:
+    mutable std::mutex m_mutex;
+    std::weak_ptr<tcp_client_connection> m_connection;
+    bool m_aborted{false};
+};
+
+using call_pointer = std::shared_ptr<running_call>;
+
 class tcp_client_connection final : public client_connection
 {
 public:
@@ -40,38 +69,52 @@
 
     void open(core::millis timeout, std::function<void(bool)> handler) override
     {
-        open_until(core::boot_clock::now() + timeout, std::move(handler));
+        open_until(core::boot_clock::now() + timeout, {}, std::move(handler));
     }
 
     void exchange(request message, core::millis timeout,
                   exchange_handler handler) override
     {
         exchange_until(std::move(message), core::boot_clock::now() + timeout,
-                       std::move(handler));
+                       {}, std::move(handler));
     }
 
-    void open_until(core::boot_instant deadline,
+    void open_until(core::boot_instant deadline, call_pointer call,
                     std::function<void(bool)> handler)
     {
         asio::dispatch(m_stream.get_executor(),
                        [this, self = shared_from_this(), deadline,
+                        call = std::move(call),
                         handler = std::move(handler)]() mutable {
+                           m_call = std::move(call);
                            start_open(deadline, std::move(handler));
                        });
     }
 
     void exchange_until(request message, core::boot_instant deadline,
-                        exchange_handler handler)
+                        call_pointer call, exchange_handler handler)
     {
         asio::dispatch(m_stream.get_executor(),
                        [this, self = shared_from_this(),
                         message = std::move(message), deadline,
+                        call = std::move(call),
                         handler = std::move(handler)]() mutable {
+                           m_call = std::move(call);
                            start_exchange(std::move(message), deadline,
                                           std::move(handler));
                        });
     }
 
+    // Closes the connection if it still works for this call.
+    void abort(const call_pointer& call)
+    {
+        asio::dispatch(m_stream.get_executor(),
+                       [this, self = shared_from_this(), call] {
+                           if (m_call == call)
+                               shut();
+                       });
+    }
+
     void close() override
     {
         asio::dispatch(m_stream.get_executor(),
@@ -79,6 +122,8 @@
     }
 
 private:
+    bool is_aborted() const { return m_call && m_call->is_aborted(); }
+
     // The stream's own timer fires late in a process that was held up, so the
     // deadline is looked at again before each step that sends.
     bool start_timer(core::boot_instant deadline)
@@ -95,8 +140,12 @@
     {
         error_code bad_address;
         const auto ip = asio::ip::make_address(m_where.ip, bad_address);
-        if (bad_address || !start_timer(deadline))
-            return handler(false);
+        if (bad_address || is_aborted() || !start_timer(deadline))
+            return asio::post(
+                m_stream.get_executor(),
+                [self = shared_from_this(), handler = std::move(handler)] {
+                    handler(false);
+                });
         m_stream.async_connect(
             asio::ip::tcp::endpoint(ip, m_where.port),
             [this, self = shared_from_this(),
@@ -119,7 +168,7 @@
             shut();
         if (!m_open)
             return handler({exchange_end::not_sent, 0, {}});
-        if (!start_timer(deadline))
+        if (is_aborted() || !start_timer(deadline))
         {
             shut();
             return handler({exchange_end::not_sent, 0, {}});
@@ -203,6 +252,7 @@
 
     void finish(exchange_result result)
     {
+        m_call.reset();
         if (auto handler = std::exchange(m_handler, {}))
             handler(std::move(result));
     }
@@ -221,9 +271,22 @@
         m_parser;
     beast::flat_buffer m_buffer;
     exchange_handler m_handler;
+    call_pointer m_call;
     bool m_open{false};
 };
 
+void running_call::abort(const std::shared_ptr<running_call>& one)
+{
+    std::shared_ptr<tcp_client_connection> connection;
+    {
+        const std::lock_guard lock(one->m_mutex);
+        one->m_aborted = true;
+        connection = one->m_connection.lock();
+    }
+    if (connection)
+        connection->abort(one);
+}
+
 class keeping_client final : public client
 {
 public:
@@ -232,19 +295,31 @@
     {
     }
 
-    void send(const core::address& where, request message, core::millis timeout,
-              exchange_handler handler) override
+    call_handle send(const core::address& where, request message,
+                     core::millis timeout, exchange_handler handler) override
     {
         const auto deadline = core::boot_clock::now() + timeout;
+        const auto call = std::make_shared<running_call>();
         if (auto kept = take(where))
-            return start(where, std::move(kept), std::move(message), deadline,
-                         std::move(handler), true);
-        connect(where, std::move(message), deadline, std::move(handler));
+            start({where, deadline, call, std::move(handler)}, std::move(kept),
+                  std::move(message), true);
+        else
+            connect({where, deadline, call, std::move(handler)},
+                    std::move(message));
+        return call_handle([call] { running_call::abort(call); });
     }
 
 private:
     using connection = std::shared_ptr<tcp_client_connection>;
 
+    struct order
+    {
+        core::address where;
+        core::boot_instant deadline;
+        call_pointer call;
+        exchange_handler handler;
+    };
+
     connection take(const core::address& where)
     {
         const std::lock_guard lock(m_mutex);
@@ -265,39 +340,41 @@
         one->close();
     }
 
-    void connect(const core::address& where, request message,
-                 core::boot_instant deadline, exchange_handler handler)
+    void connect(order one, request message)
     {
-        auto made = std::make_shared<tcp_client_connection>(m_io, where);
+        auto made = std::make_shared<tcp_client_connection>(m_io, one.where);
+        one.call->use(made);
+        const auto deadline = one.deadline;
+        const auto call = one.call;
         made->open_until(
-            deadline, [this, self = shared_from_this(), made, where,
-                       message = std::move(message), deadline,
-                       handler = std::move(handler)](bool ok) mutable {
+            deadline, call,
+            [this, self = shared_from_this(), made, one = std::move(one),
+             message = std::move(message)](bool ok) mutable {
                 if (!ok)
-                    return handler({exchange_end::not_sent, 0, {}});
-                start(where, made, std::move(message), deadline,
-                      std::move(handler), false);
+                    return one.handler({exchange_end::not_sent, 0, {}});
+                start(std::move(one), made, std::move(message), false);
             });
     }
 
     // A kept connection may have been closed by the server meanwhile; nothing
     // was sent then and a new connection is tried once.
-    void start(const core::address& where, connection one, request message,
-               core::boot_instant deadline, exchange_handler handler, bool kept)
+    void start(order one, connection over, request message, bool kept)
     {
         auto copy = kept ? std::optional(message) : std::nullopt;
-        auto* raw = one.get();
+        one.call->use(over);
+        const auto deadline = one.deadline;
+        const auto call = one.call;
+        auto* raw = over.get();
         raw->exchange_until(
-            std::move(message), deadline,
-            [this, self = shared_from_this(), where, one = std::move(one),
-             copy = std::move(copy), deadline,
-             handler = std::move(handler)](exchange_result result) mutable {
+            std::move(message), deadline, call,
+            [this, self = shared_from_this(), over = std::move(over),
+             copy = std::move(copy),
+             one = std::move(one)](exchange_result result) mutable {
                 if (result.end == exchange_end::not_sent && copy)
-                    return connect(where, std::move(*copy), deadline,
-                                   std::move(handler));
+                    return connect(std::move(one), std::move(*copy));
                 if (result.end == exchange_end::answered)
-                    keep(where, std::move(one));
-                handler(std::move(result));
+                    keep(one.where, std::move(over));
+                one.handler(std::move(result));
             });
     }
 
@@ -315,6 +392,17 @@
     return std::make_shared<tcp_client_connection>(io, where);
 }
 
+call_handle::call_handle(std::function<void()> abort)
+    : m_abort(std::move(abort))
+{
+}
+
+void call_handle::abort() const
+{
+    if (m_abort)
+        m_abort();
+}
+
 std::shared_ptr<client> client::create(asio::io_context& io,
                                        std::size_t most_kept)
 {
--- a/src/plantainward/http/client.hpp
+++ b/src/plantainward/http/client.hpp
@@ -66,6 +66,27 @@
     virtual void close() = 0;
 };
 
+/// Ends one call of a `client` early. Copies refer to the same call.
+class call_handle
+{
+public:
+    /// Refers to no call.
+    call_handle() = default;
+
+    /// Refers to the call that this function ends.
+    explicit call_handle(std::function<void()> abort);
+
+    /// Resets the connection of the call, so what was not delivered yet is not
+    /// delivered, and lets the call end as `lost` or, when no byte had left,
+    /// as `not_sent`. Does nothing when the call is over or there is none; a
+    /// call whose answer has arrived already may still end as `answered`. May
+    /// be called from any thread.
+    void abort() const;
+
+private:
+    std::function<void()> m_abort;
+};
+
 /// Sends requests to any server over a bounded set of kept connections.
 class client : public std::enable_shared_from_this<client>
 {
@@ -83,8 +104,12 @@
     /// had closed, and the exchange. When it passes, the connection is reset,
     /// so what was not delivered by then is not delivered later; the call ends
     /// as `timed_out`, or as `not_sent` when no byte had left.
-    virtual void send(const core::address& where, request message,
-                      core::millis timeout, exchange_handler handler) = 0;
+    ///
+    /// The handler is called exactly once, from the I/O context; never from
+    /// inside this call or `call_handle::abort`.
+    virtual call_handle send(const core::address& where, request message,
+                             core::millis timeout,
+                             exchange_handler handler) = 0;
 };
 
 /// Sends one request and blocks until its end; for command-line programs.
--- a/tests/http/client_tests.cpp
+++ b/tests/http/client_tests.cpp
@@ -112,8 +112,12 @@
     {
         std::string request;
         LONGS_EQUAL(read_end::data, read(to, request, patience));
-        asio::write(to, asio::buffer(std::string(
-                            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")));
+        error_code error;
+        asio::write(to,
+                    asio::buffer(std::string(
+                        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")),
+                    error);
+        CHECK_FALSE(error.failed());
     }
 
 private:
@@ -308,3 +312,146 @@
     CHECK(text.size() < large_bytes);
     LONGS_EQUAL(1, watch.count());
 }
+
+TEST(client, a_call_aborted_while_it_connects_sends_nothing_later)
+{
+    manual_server server(0);
+    const auto filler = server.fill_backlog();
+    call_watch watch;
+    const auto call =
+        client->send(server.where(), question(), patience, watch.handler());
+    std::this_thread::sleep_for(millis(100));
+    call.abort();
+    LONGS_EQUAL(exchange_end::not_sent, watch.wait());
+    CHECK(watch.took() < millis(100) + tolerance);
+    const auto unused = server.accept();
+    std::string text;
+    if (auto accepted = server.accept(limit))
+        read_all(*accepted, text, limit);
+    STRCMP_EQUAL("", text.c_str());
+    LONGS_EQUAL(1, watch.count());
+}
+
+TEST(client, a_call_aborted_while_it_waits_for_its_answer_is_reset_and_lost)
+{
+    manual_server server;
+    call_watch watch;
+    const auto call =
+        client->send(server.where(), question(), patience, watch.handler());
+    auto accepted = server.accept();
+    CHECK(accepted.has_value());
+    std::string text;
+    LONGS_EQUAL(read_end::data, read(*accepted, text, patience));
+    const auto arrived = text;
+    call.abort();
+    LONGS_EQUAL(exchange_end::lost, watch.wait());
+    CHECK(watch.took() < patience);
+    LONGS_EQUAL(read_end::reset, read_all(*accepted, text, patience));
+    STRCMP_EQUAL(arrived.c_str(), text.c_str());
+    LONGS_EQUAL(1, watch.count());
+}
+
+TEST(client, what_a_server_has_not_read_of_an_aborted_call_is_discarded)
+{
+    manual_server server;
+    call_watch watch;
+    const auto call =
+        client->send(server.where(), question(std::string(large_bytes, 'x')),
+                     patience, watch.handler());
+    auto accepted = server.accept();
+    CHECK(accepted.has_value());
+    CHECK(is_readable(accepted->native_handle(), patience));
+    call.abort();
+    LONGS_EQUAL(exchange_end::lost, watch.wait());
+    std::string text;
+    LONGS_EQUAL(read_end::reset, read_all(*accepted, text, patience));
+    CHECK(text.size() < large_bytes);
+    LONGS_EQUAL(1, watch.count());
+}
+
+TEST(client, an_aborted_call_on_a_kept_connection_makes_no_second_attempt)
+{
+    manual_server server;
+    auto kept = keep_connection(server);
+    hold_up(millis(200));
+    call_watch watch;
+    const auto call =
+        client->send(server.where(), question(), patience, watch.handler());
+    call.abort();
+    LONGS_EQUAL(exchange_end::not_sent, watch.wait());
+    std::string text;
+    read_all(kept, text, millis(300));
+    STRCMP_EQUAL("", text.c_str());
+    CHECK_FALSE(server.accept(millis(300)).has_value());
+    LONGS_EQUAL(1, watch.count());
+}
+
+TEST(client, the_abort_of_a_call_that_is_over_leaves_the_next_one_alone)
+{
+    manual_server server;
+    call_watch first;
+    const auto over =
+        client->send(server.where(), question(), patience, first.handler());
+    auto accepted = server.accept();
+    CHECK(accepted.has_value());
+    manual_server::answer(*accepted);
+    LONGS_EQUAL(exchange_end::answered, first.wait());
+    call_watch second;
+    client->send(server.where(), question(), patience, second.handler());
+    CHECK(is_readable(accepted->native_handle(), patience));
+    over.abort();
+    over.abort();
+    std::this_thread::sleep_for(millis(100));
+    manual_server::answer(*accepted);
+    LONGS_EQUAL(exchange_end::answered, second.wait());
+    LONGS_EQUAL(1, first.count());
+    LONGS_EQUAL(1, second.count());
+}
+
+TEST(client, the_handler_of_an_aborted_call_runs_once_and_not_inside_the_abort)
+{
+    manual_server server;
+    call_watch watch;
+    bool inside = false;
+    bool called_inside = false;
+    auto call =
+        client->send(server.where(), question(), patience,
+                     [&, count = watch.handler()](http::exchange_result end) {
+                         called_inside = inside;
+                         count(std::move(end));
+                     });
+    auto accepted = server.accept();
+    CHECK(accepted.has_value());
+    CHECK(is_readable(accepted->native_handle(), patience));
+    asio::post(io, [&, call] {
+        inside = true;
+        call.abort();
+        call.abort();
+        inside = false;
+    });
+    LONGS_EQUAL(exchange_end::lost, watch.wait());
+    call.abort();
+    std::this_thread::sleep_for(millis(100));
+    CHECK_FALSE(called_inside);
+    LONGS_EQUAL(1, watch.count());
+}
+
+TEST(client, the_handler_of_a_call_without_time_does_not_run_inside_send)
+{
+    manual_server server;
+    call_watch watch;
+    bool called_inside = false;
+    asio::post(io, [&] {
+        client->send(server.where(), question(), millis(0), watch.handler());
+        called_inside = watch.count() != 0;
+    });
+    LONGS_EQUAL(exchange_end::not_sent, watch.wait());
+    CHECK_FALSE(called_inside);
+    LONGS_EQUAL(1, watch.count());
+}
+
+TEST(client, a_handle_of_no_call_aborts_nothing)
+{
+    const http::call_handle none;
+    none.abort();
+}
