A promotion call ends with the right to make it

A call could reach the platform 3 s after its conditional write: it started within 1 s, had 1 s to connect and 1 s for its answer. Another host may take the claim over after 1.5 s, so a lower token could follow a higher one. A host that learned of a newer record dropped its claim and left its call under way, and answers to writes and calls weren't matched with what they answered: a late one could start a promotion with an old token in a later claim.

A call now has one deadline, 1.3 s after its write; it is broken off, before the host agrees to anything, when a newer record is known. Writes are numbered, calls go by their token, and late answers change nothing. That a database leads its old term on is taken as the answer of the platform to a call for its present primary only after the accepted call, not after its sending.

--- a/src/plantainward/entry/entry_host.cpp
+++ b/src/plantainward/entry/entry_host.cpp
@@ -120,6 +120,9 @@
              record.primary + " by " + record.writer + ", version " +
              std::to_string(record.version));
     tell_claim_end(one, now);
+    // What this host promotes must not overtake what the new writer does.
+    if (!one.running() && m_calls.contains(service))
+        out.control.emplace_back(abort_promotion_action{service});
     update_primary(one, now, out);
     return true;
 }
@@ -201,22 +204,23 @@
            found->second.share_of(m_identity.name) > 0;
 }
 
-entry_actions entry_host::on_record_written(const std::string& service,
-                                            succession::write_end end,
-                                            std::uint64_t version,
-                                            core::boot_instant sent,
-                                            core::boot_instant now)
+entry_actions
+entry_host::on_record_written(const std::string& service, std::uint64_t id,
+                              succession::write_end end, std::uint64_t version,
+                              core::boot_instant sent, core::boot_instant now)
 {
     entry_actions out;
     auto& one = succession_of(service);
+    const bool is_late = !one.awaits_write(id);
     tell(observe::log_event::record_write, service,
          end == succession::write_end::written
-             ? "written, version " + std::to_string(version)
+             ? (is_late ? "written late, version " : "written, version ") +
+                   std::to_string(version)
              : (end == succession::write_end::conflict ? "conflict"
                                                        : "not known"));
-    const auto wanted = one.on_write(end, version, now);
+    const auto wanted = one.on_write(id, end, version, now);
     tell_claim_end(one, now);
-    if (end == succession::write_end::written)
+    if (end == succession::write_end::written && !is_late)
     {
         one.prove(version, sent);
         update_primary(one, now, out);
@@ -249,12 +253,17 @@
 }
 
 entry_actions entry_host::on_promoted(const std::string& service,
+                                      std::uint64_t token,
                                       succession::promote_end end,
                                       core::boot_instant now)
 {
     entry_actions out;
     auto& one = succession_of(service);
-    const auto call = std::exchange(m_calls[service], {});
+    const auto found = m_calls.find(service);
+    if (found == m_calls.end() || found->second.what.token != token)
+        return out;
+    const auto call = found->second;
+    m_calls.erase(found);
     const auto took = std::chrono::duration_cast<core::millis>(now - call.sent);
     tell({observe::log_event::promotion,
           service,
@@ -265,7 +274,7 @@
            {"known_version", std::to_string(one.lease().record().version)}},
           observe::measure::promotion_call,
           took});
-    carry_out(service, one.on_promote(end, now), now, out);
+    one.on_promote(token, end, now);
     return out;
 }
 
--- a/src/plantainward/entry/entry_host.hpp
+++ b/src/plantainward/entry/entry_host.hpp
@@ -74,6 +74,12 @@
     succession::promote_action promote;
 };
 
+/// Breaks off the promotion call of a service, so that it arrives no more.
+struct abort_promotion_action
+{
+    std::string service;
+};
+
 /// Removes the registration of a host that is gone.
 struct remove_member_action
 {
@@ -84,7 +90,8 @@
     std::variant<heartbeat_action, read_records_action, read_members_action,
                  read_routing_action, read_upstreams_action,
                  write_record_action, ask_status_action, demote_upstream_action,
-                 promote_upstream_action, remove_member_action>;
+                 promote_upstream_action, abort_promotion_action,
+                 remove_member_action>;
 
 /// What a host does after one event.
 struct entry_actions
@@ -183,8 +190,9 @@
     std::optional<core::address> address_of(const std::string& host) const;
     entry_actions on_heartbeat(std::string_view bytes, core::boot_instant now);
 
+    /// Takes the answer to the write with this id.
     entry_actions on_record_written(const std::string& service,
-                                    succession::write_end end,
+                                    std::uint64_t id, succession::write_end end,
                                     std::uint64_t version,
                                     core::boot_instant sent,
                                     core::boot_instant now);
@@ -193,7 +201,8 @@
                             core::boot_instant asked,
                             const sql::status_answer& status,
                             core::boot_instant now);
-    entry_actions on_promoted(const std::string& service,
+    /// Takes the end of the promotion call with this token.
+    entry_actions on_promoted(const std::string& service, std::uint64_t token,
                               succession::promote_end end,
                               core::boot_instant now);
 
--- a/src/plantainward/succession/claim.cpp
+++ b/src/plantainward/succession/claim.cpp
@@ -24,10 +24,13 @@
 // replica still receives within a network delay.
 constexpr core::millis catch_up_patience{1000};
 
-// A promotion call must follow its conditional write within this time; others
-// take the claim over no sooner than `takeover_silence` after that write.
+// A promotion call must start within this time of its conditional write.
 constexpr core::millis promote_within{1000};
 
+// A promotion call is over, one way or another, this long after its conditional
+// write; others take the claim over no sooner than `takeover_silence` after it.
+constexpr core::millis promote_deadline{1300};
+
 // A promotion takes some hundred ms up to a second; a call whose effect does
 // not show by then is repeated.
 constexpr core::millis promote_patience{2500};
@@ -74,7 +77,7 @@
     m_wanted = std::move(wanted);
     m_stage = stage;
     m_last_sent = now;
-    out.emplace_back(write_action{m_record.version, m_wanted});
+    out.emplace_back(write_action{0, m_record.version, m_wanted});
 }
 
 claim_actions claim::on_write(write_end end, std::uint64_t version,
@@ -96,7 +99,9 @@
             return finish(claim_end::too_late);
         m_stage = claim_stage::promoting;
         m_promoted_at = now;
-        return {promote_action{m_record.primary, version, m_last_sent}};
+        m_accepted_at.reset();
+        return {promote_action{m_record.primary, version, m_last_sent,
+                               m_last_sent + promote_deadline}};
     default:
         return finish(claim_end::settled);
     }
@@ -123,15 +128,18 @@
     m_down_at.erase(upstream);
 }
 
-claim_actions claim::on_promote(promote_end end, core::boot_instant now)
+void claim::on_promote(promote_end end, core::boot_instant now)
 {
-    if (m_stage == claim_stage::promoting && end == promote_end::rejected)
+    if (m_stage != claim_stage::promoting)
+        return;
+    if (end == promote_end::accepted)
+        m_accepted_at = now;
+    if (end == promote_end::rejected)
     {
         m_rejected[m_record.primary] = now;
         m_record.promoting = m_promoted_before;
         m_stage = claim_stage::gathering;
     }
-    return {};
 }
 
 const claim::answer* claim::answer_of(const std::string& upstream) const
@@ -317,7 +325,7 @@
     if (chosen.asked < m_promoted_at || !chosen.status.is_primary)
         return false;
     return chosen.status.term > m_record.term ||
-           chosen.asked - m_promoted_at > longest_promotion;
+           (m_accepted_at && chosen.asked - *m_accepted_at > longest_promotion);
 }
 
 claim_actions claim::tick(const claim_view& view, core::boot_instant now)
@@ -340,7 +348,7 @@
         settle(view, m_record.primary, now, out);
         return out;
     }
-    if (now - m_promoted_at > promote_patience)
+    if (now - m_accepted_at.value_or(m_promoted_at) > promote_patience)
         m_stage = claim_stage::gathering;
     return out;
 }
--- a/src/plantainward/succession/claim.hpp
+++ b/src/plantainward/succession/claim.hpp
@@ -43,6 +43,8 @@
 /// Writes the record if its version is still `expected`.
 struct write_action
 {
+    /// Tells the answer to this write from late ones to earlier writes.
+    std::uint64_t id{0};
     std::uint64_t expected{0};
     leadership record;
 };
@@ -67,6 +69,8 @@
     std::uint64_t token{0};
     /// When the conditional write that gave the token was sent.
     core::boot_instant written{};
+    /// The call must not reach the platform later.
+    core::boot_instant deadline{};
 };
 
 using claim_action =
@@ -167,7 +171,7 @@
                            core::boot_instant now);
     void on_status(const std::string& upstream, core::boot_instant asked,
                    const sql::status_answer& status);
-    claim_actions on_promote(promote_end end, core::boot_instant now);
+    void on_promote(promote_end end, core::boot_instant now);
     claim_actions tick(const claim_view& view, core::boot_instant now);
 
     claim_stage stage() const { return m_stage; }
@@ -222,6 +226,7 @@
     std::optional<core::boot_instant> m_demoted_at;
     core::boot_instant m_last_asked{};
     core::boot_instant m_promoted_at{};
+    std::optional<core::boot_instant> m_accepted_at;
     /// An earlier promotion may have been asked for than the one under way.
     bool m_promoted_before{false};
     std::map<std::string, answer> m_answers;
--- a/src/plantainward/succession/succession.cpp
+++ b/src/plantainward/succession/succession.cpp
@@ -90,12 +90,21 @@
     return std::nullopt;
 }
 
+// The answer to a write that is not the last one is late.
+claim_actions succession::number_writes(claim_actions actions)
+{
+    for (auto& one : actions)
+        if (auto* write = std::get_if<write_action>(&one))
+            write->id = ++m_last_write;
+    return actions;
+}
+
 claim_actions succession::tick(const succession_view& view,
                                core::boot_instant now)
 {
     if (m_claim)
     {
-        auto out = m_claim->tick(view.claim, now);
+        auto out = number_writes(m_claim->tick(view.claim, now));
         end_if_finished(now);
         return out;
     }
@@ -109,16 +118,19 @@
         now - m_cause_since < rank_delay * static_cast<int>(view.rank))
         return {};
     m_claim.emplace(m_self, m_lease.record(), *found, now);
-    return m_claim->start();
+    return number_writes(m_claim->start());
 }
 
-claim_actions succession::on_write(write_end end, std::uint64_t version,
+claim_actions succession::on_write(std::uint64_t id, write_end end,
+                                   std::uint64_t version,
                                    core::boot_instant now)
 {
+    if (id != m_last_write)
+        return {};
     m_cannot_write = end == write_end::unknown;
     if (!m_claim)
         return {};
-    auto out = m_claim->on_write(end, version, now);
+    auto out = number_writes(m_claim->on_write(end, version, now));
     if (end == write_end::written)
     {
         const auto record = m_claim->record();
@@ -137,9 +149,11 @@
         m_claim->on_status(upstream, asked, status);
 }
 
-claim_actions succession::on_promote(promote_end end, core::boot_instant now)
+void succession::on_promote(std::uint64_t token, promote_end end,
+                            core::boot_instant now)
 {
-    return m_claim ? m_claim->on_promote(end, now) : claim_actions{};
+    if (m_claim && m_claim->record().version == token)
+        m_claim->on_promote(end, now);
 }
 
 void succession::end_if_finished(core::boot_instant now)
--- a/src/plantainward/succession/succession.hpp
+++ b/src/plantainward/succession/succession.hpp
@@ -61,11 +61,22 @@
     /// Starts, goes on with or ends a claim.
     claim_actions tick(const succession_view& view, core::boot_instant now);
 
-    claim_actions on_write(write_end end, std::uint64_t version,
-                           core::boot_instant now);
+    /// Whether the answer to this write is waited for: the claim that asked
+    /// for it still runs and has asked for no other since.
+    bool awaits_write(std::uint64_t id) const
+    {
+        return m_claim && id == m_last_write;
+    }
+
+    /// Takes the answer to a write; a late one changes nothing.
+    claim_actions on_write(std::uint64_t id, write_end end,
+                           std::uint64_t version, core::boot_instant now);
     void on_status(const std::string& upstream, core::boot_instant asked,
                    const sql::status_answer& status);
-    claim_actions on_promote(promote_end end, core::boot_instant now);
+    /// Takes the end of the promotion call with this token; that of an earlier
+    /// call changes nothing.
+    void on_promote(std::uint64_t token, promote_end end,
+                    core::boot_instant now);
 
     const primary_lease& lease() const { return m_lease; }
     const std::string& service() const { return m_service; }
@@ -80,6 +91,7 @@
 private:
     std::optional<claim_cause> cause(const succession_view& view,
                                      core::boot_instant now) const;
+    claim_actions number_writes(claim_actions actions);
     void end_if_finished(core::boot_instant now);
     void end_claim(claim_end end, claim_stage reached);
 
@@ -91,6 +103,7 @@
     core::boot_instant m_cause_since{};
     bool m_cannot_write{false};
     core::boot_instant m_not_before{};
+    std::uint64_t m_last_write{0};
     std::optional<claim> m_claim;
     std::optional<ended_claim> m_ended;
 };
--- a/tests/succession/claim_tests.cpp
+++ b/tests/succession/claim_tests.cpp
@@ -273,6 +273,30 @@
     STRCMP_EQUAL("r2", write->record.primary.c_str());
 }
 
+TEST(claim, a_call_for_the_present_primary_settles_after_the_longest_promotion)
+{
+    claim_case c(claim_cause::abandoned);
+    c.write_claim();
+    c.aware = 3;
+    c.tick_after(millis(1));
+    c.now += millis(5);
+    c.all_answer();
+    c.one.on_status("p", c.now, status(true, 3, {3, 20}));
+    c.tick_after(millis(1));
+    c.one.on_write(write_end::written, 9, c.now);
+    c.now += millis(900);
+    c.one.on_promote(promote_end::accepted, c.now);
+    c.now += millis(1400);
+    c.one.on_status("p", c.now, status(true, 3, {3, 20}));
+    CHECK(find<write_action>(c.tick_after(millis(1))) == nullptr);
+    c.now += millis(160);
+    c.one.on_status("p", c.now, status(true, 3, {3, 20}));
+    const auto actions = c.tick_after(millis(1));
+    const auto* write = find<write_action>(actions);
+    CHECK(write != nullptr);
+    CHECK(write->record.phase == leadership_phase::settled);
+}
+
 // Guards against the return to a primary that a promotion may have replaced.
 TEST(claim, after_a_promotion_of_unknown_end_the_old_primary_is_not_kept)
 {
--- a/tests/succession/succession_tests.cpp
+++ b/tests/succession/succession_tests.cpp
@@ -20,10 +20,25 @@
         view.watchers = 4;
     }
 
+    /// Asks until the claim's last write is told, as the given one.
+    claim_actions write(write_end end, std::uint64_t version)
+    {
+        return one.on_write(last_write, end, version, now);
+    }
+
+    void note(const claim_actions& actions)
+    {
+        for (const auto& action : actions)
+            if (const auto* asked = std::get_if<write_action>(&action))
+                last_write = asked->id;
+    }
+
+    std::uint64_t last_write{0};
+
     bool claims()
     {
         now += millis(10);
-        one.tick(view, now);
+        note(one.tick(view, now));
         return one.running().has_value();
     }
 };
@@ -54,3 +69,59 @@
     view.watchers = 0;
     CHECK_FALSE(claims());
 }
+
+// Guards against a promotion with the token of an earlier claim.
+TEST(succession, the_late_answer_to_an_earlier_claims_write_promotes_nothing)
+{
+    view.claim.all_aware = [](std::uint64_t, boot_instant) {
+        return true;
+    };
+    view.claim.aware = [](std::uint64_t, boot_instant) {
+        return 1;
+    };
+    view.claim.upstreams.push_back(
+        {"r", "ledger", {"r", 1}, "a", false, false, 1});
+    view.doubts_primary = true;
+    view.doubters = 4;
+    CHECK(claims());
+    const auto first = last_write;
+    // Another host's record ends that claim, and its primary is lost, too.
+    one.take({8, leadership_phase::settled, "p", 1, "other"}, now);
+    CHECK_FALSE(one.running().has_value());
+    CHECK(claims());
+    write(write_end::written, 9);
+    note(one.tick(view, now));
+    now += millis(5);
+    one.on_status("p", now, {std::nullopt, true});
+    one.on_status("r", now, {sql::database_status{false, 3, {3, 4}}, false});
+    note(one.tick(view, now));
+    CHECK(one.running()->stage() == claim_stage::confirming);
+    CHECK(one.on_write(first, write_end::written, 6, now).empty());
+    CHECK(one.running()->stage() == claim_stage::confirming);
+    const auto actions = write(write_end::written, 10);
+    LONGS_EQUAL(10, std::get<promote_action>(actions.front()).token);
+}
+
+TEST(succession, the_late_end_of_an_earlier_promotion_rejects_nothing)
+{
+    view.claim.all_aware = [](std::uint64_t, boot_instant) {
+        return true;
+    };
+    view.claim.aware = [](std::uint64_t, boot_instant) {
+        return 1;
+    };
+    view.doubts_primary = true;
+    view.doubters = 4;
+    CHECK(claims());
+    write(write_end::written, 9);
+    note(one.tick(view, now));
+    now += millis(5);
+    one.on_status("p", now, {sql::database_status{false, 3, {3, 4}}, false});
+    note(one.tick(view, now));
+    write(write_end::written, 10);
+    CHECK(one.running()->stage() == claim_stage::promoting);
+    one.on_promote(7, promote_end::rejected, now);
+    CHECK(one.running()->stage() == claim_stage::promoting);
+    one.on_promote(10, promote_end::rejected, now);
+    CHECK(one.running()->stage() == claim_stage::gathering);
+}
--- a/tests/support/fleet_world.cpp
+++ b/tests/support/fleet_world.cpp
@@ -337,6 +337,8 @@
                         });
             });
     }
+    else if (std::holds_alternative<entry::abort_promotion_action>(action))
+        abort_promotions(name);
     else if (std::holds_alternative<entry::remove_member_action>(action))
         ++m_history.removed_members;
     else if (std::holds_alternative<entry::read_members_action>(action))
--- a/tests/support/fleet_world.hpp
+++ b/tests/support/fleet_world.hpp
@@ -239,6 +239,7 @@
                       const entry::write_record_action& action);
     void promote(const std::string& name,
                  const entry::promote_upstream_action& action);
+    void abort_promotions(const std::string& name);
     void arrive_promotion(std::uint64_t call, const promotion_answer& answer);
     void take_lead(const std::string& id);
     void tell_upstreams();
--- a/tests/support/fleet_world_limits.hpp
+++ b/tests/support/fleet_world_limits.hpp
@@ -18,10 +18,8 @@
 inline constexpr millis tick_interval{20};
 inline constexpr millis link_silence{400};
 
-// The client's limits: it gives a write of a record up, and connects and waits
-// for a promotion, this long.
+// The client gives a write of a record up after this time.
 inline constexpr millis write_limit{1000};
-inline constexpr millis promotion_limit{2000};
 
 // A write without an answer may be performed after this time.
 inline constexpr millis late_write_least{1000};
--- a/tests/support/fleet_world_platform.cpp
+++ b/tests/support/fleet_world_platform.cpp
@@ -128,11 +128,12 @@
 {
     const auto sent = m_now;
     const auto is_told = std::make_shared<bool>(false);
-    const auto tell = [this, name, sent, is_told, service = action.service](
-                          succession::write_end end, std::uint64_t version) {
+    const auto tell = [this, name, sent, is_told, service = action.service,
+                       id = action.write.id](succession::write_end end,
+                                             std::uint64_t version) {
         if (!std::exchange(*is_told, true))
             run(name, m_hosts.at(name).host->on_record_written(
-                          service, end, version, sent, m_now));
+                          service, id, end, version, sent, m_now));
     };
     const auto answer = [this, name, tell](succession::write_end end,
                                            std::uint64_t version) {
@@ -168,17 +169,20 @@
                           const entry::promote_upstream_action& action)
 {
     const auto call = ++m_last_promotion;
+    const auto delay = draw(m_promotion_delay);
     const auto is_told = std::make_shared<bool>(false);
     const promotion_answer answer =
-        [this, name, is_told,
-         service = action.service](succession::promote_end end, millis delay) {
-            on_host(name, delay, [this, name, is_told, service, end] {
+        [this, name, is_told, service = action.service,
+         token = action.promote.token](succession::promote_end end,
+                                       millis later) {
+            on_host(name, later, [this, name, is_told, service, token, end] {
                 if (!std::exchange(*is_told, true))
-                    run(name, m_hosts.at(name).host->on_promoted(service, end,
-                                                                 m_now));
+                    run(name, m_hosts.at(name).host->on_promoted(service, token,
+                                                                 end, m_now));
             });
         };
-    const auto delay = draw(m_promotion_delay);
+    const auto limit =
+        std::chrono::duration_cast<millis>(action.promote.deadline - m_now);
     const bool is_lost = m_lose_calls || is_cut(name, platform_name);
     if (!is_lost)
         m_promotions[call] = {{action.service, name, action.promote.token,
@@ -186,7 +190,12 @@
                               false};
     if (!is_lost && delay == millis(0))
         return arrive_promotion(call, answer);
-    answer(succession::promote_end::unknown, promotion_limit);
+    // The client resets its connection when the time is up: what has not
+    // arrived by then never does, unless the host is suspended.
+    on_host(name, limit, [this, call, answer] {
+        m_promotions.erase(call);
+        answer(succession::promote_end::unknown, millis(0));
+    });
     // A suspended host goes on with its connection when it wakes up.
     on_host(name, delay / 2, [this, call, answer, rest = delay - delay / 2] {
         const auto found = m_promotions.find(call);
@@ -197,6 +206,14 @@
     });
 }
 
+// A reset discards what has not arrived yet.
+void fleet_world::abort_promotions(const std::string& name)
+{
+    std::erase_if(m_promotions, [&](const auto& one) {
+        return one.second.what.host == name;
+    });
+}
+
 void fleet_world::arrive_promotion(std::uint64_t call,
                                    const promotion_answer& answer)
 {
