The host that wrote a primary's record is the first to replace it again

Cause: any voter that sees a cause may claim, in the order of a hash with 200 ms a place; hosts hear of leaving databases up to 0.5 s apart and doubt a primary when they have work for it, so the replacing host changed with each failure.

For 10 s after its record the writer is the only one to claim while it goes on: it is heard of, votes, can write, and is not stopping. It follows the majority of those that watch the primary.

while_the_writer_of_a_record_goes_on_others_claim_nothing is red without it.

--- a/src/plantainward/entry/entry_host_fleet.cpp
+++ b/src/plantainward/entry/entry_host_fleet.cpp
@@ -83,12 +83,13 @@
                                         core::boot_instant now) const
 {
     fleet::service_news made;
-    const auto& record = m_successions.at(service).lease().record();
+    const auto& one = m_successions.at(service);
+    const auto& record = one.lease().record();
     made.record_version = record.version;
     made.watches_primary = watches(service);
-    made.cannot_write = m_successions.at(service).cannot_write();
+    made.cannot_write = one.cannot_write() || (!m_claims && !one.running());
     made.doubts_primary = m_pooler.is_doubted(service, record.primary, now);
-    if (const auto proved = m_successions.at(service).lease().proved_at())
+    if (const auto proved = one.lease().proved_at())
         made.proof_age_ms = age_in_ms(now, *proved);
     const auto mark = m_pooler.newest_mark(service);
     if (!mark)
--- a/src/plantainward/fleet/heartbeat.hpp
+++ b/src/plantainward/fleet/heartbeat.hpp
@@ -31,7 +31,7 @@
     /// The host gets no answer from the primary.
     bool doubts_primary{false};
     /// The host's last write of the record had no answer, so that a claim of
-    /// its own does not go on.
+    /// its own does not go on, or the host is stopping and starts none.
     bool cannot_write{false};
     /// Newest mark, with its age when the heartbeat was made; negative: none.
     upstream::log_point mark;
--- a/src/plantainward/succession/succession.cpp
+++ b/src/plantainward/succession/succession.cpp
@@ -22,16 +22,22 @@
 // waits for leases and for a slow promotion.
 constexpr core::millis takeover_stuck{7000};
 
+// After its record, the writer is the only one to replace the primary for this
+// time while it goes on; two hosts don't replace one shortly after each other.
+constexpr core::millis writer_first{10'000};
+
 // Pause after a claim that ended without a result.
 constexpr core::millis retry_pause{300};
 
-/// Whether most hosts that watch the primary doubt it, this one included if it
-/// is one of them.
-bool is_lost(const succession_view& view)
+/// Whether most hosts that watch the primary doubt it. A host that watches it
+/// must doubt it as well, unless the others wait for this one.
+bool is_lost(const succession_view& view, bool others_wait)
 {
     if (!view.watches)
         return view.doubters * 2 > view.watchers;
-    return view.doubts_primary && (view.doubters + 1) * 2 > view.watchers + 1;
+    const std::size_t own = view.doubts_primary ? 1 : 0;
+    return (own == 1 || others_wait) &&
+           (view.doubters + own) * 2 > view.watchers + 1;
 }
 
 } // namespace
@@ -85,11 +91,21 @@
         return claim_cause::restarted;
     if (primary->leaving)
         return claim_cause::leaving;
-    if (is_lost(view))
+    if (is_lost(view, record.writer == m_self))
         return claim_cause::lost;
     return std::nullopt;
 }
 
+// Whether another host has the first right to replace the primary.
+bool succession::is_first_by_writer(const succession_view& view,
+                                    core::boot_instant now) const
+{
+    const auto& record = m_lease.record();
+    return record.phase == leadership_phase::settled &&
+           record.writer != m_self && view.writer_goes_on &&
+           now - m_record_since < writer_first;
+}
+
 // The answer to a write that is not the last one is late.
 claim_actions succession::number_writes(claim_actions actions)
 {
@@ -114,7 +130,7 @@
         m_cause = found;
         m_cause_since = now;
     }
-    if (!found || now < m_not_before ||
+    if (!found || now < m_not_before || is_first_by_writer(view, now) ||
         now - m_cause_since < rank_delay * static_cast<int>(view.rank))
         return {};
     m_claim.emplace(m_self, m_lease.record(), *found, now);
--- a/src/plantainward/succession/succession.hpp
+++ b/src/plantainward/succession/succession.hpp
@@ -91,6 +91,8 @@
 private:
     std::optional<claim_cause> cause(const succession_view& view,
                                      core::boot_instant now) const;
+    bool is_first_by_writer(const succession_view& view,
+                            core::boot_instant now) const;
     claim_actions number_writes(claim_actions actions);
     void end_if_finished(core::boot_instant now);
     void end_claim(claim_end end, claim_stage reached);
--- a/tests/succession/succession_tests.cpp
+++ b/tests/succession/succession_tests.cpp
@@ -18,6 +18,7 @@
         one.take({5, leadership_phase::settled, "p", 1, "other"}, now);
         view.claim.upstreams = {{"p", "ledger", {"p", 1}, "a", false, true, 1}};
         view.watchers = 4;
+        view.writer_goes_on = false;
     }
 
     /// Asks until the claim's last write is told, as the given one.
@@ -70,6 +71,36 @@
     CHECK_FALSE(claims());
 }
 
+// Guards against two hosts that replace one primary shortly after each other.
+TEST(succession, while_the_writer_of_a_record_goes_on_others_claim_nothing)
+{
+    view.writer_goes_on = true;
+    view.doubts_primary = true;
+    view.doubters = 4;
+    now += millis(9900);
+    CHECK_FALSE(claims());
+    now += millis(100);
+    CHECK(claims());
+}
+
+TEST(succession, the_writer_of_a_record_replaces_the_primary_again_at_once)
+{
+    one.take({6, leadership_phase::settled, "p", 1, "me"}, now);
+    view.writer_goes_on = true;
+    view.doubts_primary = true;
+    view.doubters = 4;
+    CHECK(claims());
+}
+
+TEST(succession, the_writer_follows_the_majority_against_its_own_view)
+{
+    one.take({6, leadership_phase::settled, "p", 1, "me"}, now);
+    view.doubters = 2;
+    CHECK_FALSE(claims());
+    view.doubters = 3;
+    CHECK(claims());
+}
+
 // Guards against a promotion with the token of an earlier claim.
 TEST(succession, the_late_answer_to_an_earlier_claims_write_promotes_nothing)
 {
