A heartbeat that leaves out a service confirms nothing of its record

Hosts whose lists of members differ take different hosts for voters. One that takes itself for a non-voter leaves out services it doesn't watch; a host that takes it for a voter counted that as knowing of no newer record, although it had told of one before.

--- a/src/plantainward/fleet/fleet_view.cpp
+++ b/src/plantainward/fleet/fleet_view.cpp
@@ -22,12 +22,6 @@
     return found == one.services.end() ? nullptr : &found->second;
 }
 
-std::uint64_t version_in(const heartbeat& one, const std::string& service)
-{
-    const auto* news = news_of(one, service);
-    return news == nullptr ? 0 : news->record_version;
-}
-
 std::uint64_t known_version(const peer_state& peer, const std::string& service)
 {
     const auto found = peer.known_versions.find(key_of(service));
@@ -195,8 +189,10 @@
     std::vector<core::boot_instant> confirmed{now};
     for (const auto& [name, peer] : m_peers)
     {
+        // Hosts with different lists differ in what they leave out.
         if (!m_voters.contains(name) || !peer.last.knows_records ||
-            version_in(peer.last, service) > version)
+            news_of(peer.last, service) == nullptr ||
+            known_version(peer, service) > version)
             continue;
         confirmed.push_back(peer.confirmed_at);
     }
--- a/tests/fleet/fleet_view_tests.cpp
+++ b/tests/fleet/fleet_view_tests.cpp
@@ -185,3 +185,22 @@
     view.take(narrower, now);
     LONGS_EQUAL(5, view.version_known_by("a", service));
 }
+
+TEST(fleet_view, a_heartbeat_without_a_service_confirms_nothing_of_its_record)
+{
+    // Failure: a host that takes itself for a non-voter leaves out services,
+    // and one that takes it for a voter counted that as knowing nothing newer.
+    view.start_round(now);
+    view.take(beat("a", 1, 1, 5), now);
+    view.take(beat("b", 1, 1, 6), now);
+    auto narrower = beat("b", 2, 1, 0);
+    narrower.services.clear();
+    view.take(narrower, now);
+    CHECK_FALSE(view.quorum_instant(service, 5, now).has_value());
+    auto other = beat("c", 1, 1, 0);
+    other.services.clear();
+    view.take(other, now);
+    CHECK_FALSE(view.quorum_instant(service, 5, now).has_value());
+    view.take(beat("c", 2, 1, 5), now);
+    CHECK(view.quorum_instant(service, 5, now).has_value());
+}
