Reads and writes of the table prove a lease only to a registered host

Hosts that were silent for 8 s are removed from the list. One that came back read the records, or wrote one, and held a lease that nobody waited for, until its own list told it of the removal, which a feed that was cut off takes up to 13 s for. A proof by the table now reaches no further than the last list that showed this host, and the list is asked for with the records. A host whose list lacks it takes no proof from peers either.

--- a/src/plantainward/entry/entry_host.cpp
+++ b/src/plantainward/entry/entry_host.cpp
@@ -137,15 +137,34 @@
     for (const auto& [service, record] : records)
     {
         changed = take_record(service, record, now, out) || changed;
-        auto& one = succession_of(service);
-        one.prove(record.version, read_at);
-        update_primary(one, now, out);
+        auto& read = m_reads[service];
+        if (read_at >= read.at)
+            read = {record.version, read_at};
     }
+    prove_by_reads();
+    for (const auto& [service, record] : records)
+        update_primary(succession_of(service), now, out);
     if (changed)
         send_heartbeats(now, out);
     return out;
 }
 
+// Who replaces a primary waits for the hosts that it finds registered, so only
+// a registered host may rest on what it has read or written.
+void entry_host::prove_by_table(succession::succession& one,
+                                std::uint64_t version,
+                                core::boot_instant at) const
+{
+    if (m_registered_at)
+        one.prove(version, std::min(at, *m_registered_at));
+}
+
+void entry_host::prove_by_reads()
+{
+    for (const auto& [service, read] : m_reads)
+        prove_by_table(succession_of(service), read.version, read.at);
+}
+
 entry_actions entry_host::on_record(const std::string& service,
                                     const succession::leadership& record,
                                     core::boot_instant now)
@@ -167,6 +186,11 @@
         m_members_read_at = std::max(m_members_read_at, *read_at);
     m_fleet.set_members(members, now);
     plan_connections();
+    if (!is_registered())
+        return m_registered_at.reset();
+    if (read_at)
+        m_registered_at = m_members_read_at;
+    prove_by_reads();
 }
 
 std::optional<core::address>
@@ -222,7 +246,7 @@
     tell_claim_end(one, now);
     if (end == succession::write_end::written && !is_late)
     {
-        one.prove(version, sent);
+        prove_by_table(one, version, sent);
         update_primary(one, now, out);
         send_heartbeats(now, out);
         // A host that this one has not heard of may hold a lease.
--- a/src/plantainward/entry/entry_host.hpp
+++ b/src/plantainward/entry/entry_host.hpp
@@ -154,7 +154,8 @@
                                       std::uint64_t version,
                                       core::boot_instant now);
 
-    /// Takes all records, read no earlier than `read_at`.
+    /// Takes all records, read no earlier than `read_at`; they prove a lease
+    /// up to the last list of hosts that showed this one.
     entry_actions
     on_records(const std::map<std::string, succession::leadership>& records,
                core::boot_instant read_at, core::boot_instant now);
@@ -244,6 +245,10 @@
     void run_claims(core::boot_instant now, entry_actions& out);
     void update_upstreams(core::boot_instant now, entry_actions& out);
     void renew_leases(core::boot_instant now, entry_actions& out);
+    bool is_registered() const { return m_members.contains(m_identity.name); }
+    void prove_by_table(succession::succession& one, std::uint64_t version,
+                        core::boot_instant at) const;
+    void prove_by_reads();
     void remove_lost_members(core::boot_instant now, entry_actions& out);
     bool take_record(const std::string& service,
                      const succession::leadership& record,
@@ -285,6 +290,15 @@
     std::map<std::string, promotion_call> m_calls;
     belief_observer m_on_belief;
     bool m_knows_records{false};
+    /// A record's version as the table service showed it.
+    struct record_read
+    {
+        std::uint64_t version{0};
+        core::boot_instant at{};
+    };
+    std::map<std::string, record_read> m_reads;
+    /// This host was registered at this instant or later, as far as it knows.
+    std::optional<core::boot_instant> m_registered_at;
     bool m_claims{true};
     core::boot_instant m_last_round{};
     core::boot_instant m_last_record_read{};
--- a/src/plantainward/entry/entry_host_fleet.cpp
+++ b/src/plantainward/entry/entry_host_fleet.cpp
@@ -222,7 +222,7 @@
     for (auto& [service, one] : m_successions)
     {
         const auto version = one.lease().record().version;
-        if (m_knows_records)
+        if (m_knows_records && is_registered())
             if (const auto at = m_fleet.proof_instant(service, version, now))
                 one.prove(version, *at);
         update_primary(one, now, out);
@@ -241,6 +241,9 @@
     if (!runs_out || now - m_last_record_read < record_read_interval)
         return;
     m_last_record_read = now;
+    // Hosts that start together read the list once all have registered.
+    if (m_members_version > 0)
+        out.control.emplace_back(read_members_action{});
     out.control.emplace_back(read_records_action{});
 }
 
--- a/tests/entry/lease_tests.cpp
+++ b/tests/entry/lease_tests.cpp
@@ -87,3 +87,33 @@
         got->services.at(fleet::key_of(service)).proof_age_ms >= 0;
     CHECK_FALSE(agrees && uses_old_primary);
 }
+
+TEST(lease, a_host_that_is_not_registered_proves_no_record_by_reading_it)
+{
+    // Failure: a host that others had removed while it was cut off read the
+    // records and used a primary; who replaced it did not wait for this host.
+    const boot_instant start{std::chrono::seconds(100)};
+    entry::entry_host host({"restarted", "a", 200});
+    host.on_routing(one_service(), start);
+    host.on_members(two_hosts(), 1, start, start);
+    host.on_records(settled(5), start, start);
+    const auto proof = [&](boot_instant when) {
+        const auto got = heartbeat_in(host.tick(when));
+        return got && got->services.at(fleet::key_of(service)).proof_age_ms >=
+                          0;
+    };
+    CHECK(proof(start + millis(300)));
+    // Nothing is heard of the list for the time after which hosts are removed.
+    const auto back = start + millis(9000);
+    host.on_records(settled(5), back, back + millis(5));
+    CHECK_FALSE(proof(back + millis(300)));
+    host.on_members(two_hosts(), 1, back, back + millis(310));
+    CHECK(proof(back + millis(700)));
+    // The list that shows the removal ends it again.
+    auto others = two_hosts();
+    others.erase("restarted");
+    const auto removed = back + millis(3000);
+    host.on_members(others, 2, removed, removed);
+    host.on_records(settled(5), removed, removed + millis(5));
+    CHECK_FALSE(proof(removed + millis(600)));
+}
