A claim waits for hosts that left the list within the validity of a lease

All hosts of a list that was read after the claim agreed, and the primary was replaced at once, though a host that had been removed from the list just before could hold a lease: the peers that had not heard of the removal confirmed it. It is told of the claim and waited for now, until it agrees or 1.6 s after it left.

--- a/src/plantainward/entry/entry_host.cpp
+++ b/src/plantainward/entry/entry_host.cpp
@@ -401,7 +401,7 @@
         view.claim.all_aware = [&, &name = service](std::uint64_t version,
                                                     core::boot_instant since) {
             return m_members_read_at >= since &&
-                   m_fleet.all_aware(name, version);
+                   m_fleet.all_aware(name, version, now);
         };
         view.claim.aware = [&, &name = service](std::uint64_t version,
                                                 core::boot_instant) {
--- a/src/plantainward/entry/entry_host_fleet.cpp
+++ b/src/plantainward/entry/entry_host_fleet.cpp
@@ -111,7 +111,7 @@
         if (!one.running())
             continue;
         const auto unaware =
-            m_fleet.unaware(service, one.lease().record().version);
+            m_fleet.unaware(service, one.lease().record().version, now);
         names.insert(unaware.begin(), unaware.end());
     }
     for (const auto& name : m_awaiting)
@@ -144,8 +144,8 @@
         if (has_record)
             told.record = m_successions.at(service).lease().record();
     }
-    out.control.emplace_back(heartbeat_action{m_fleet.peers().at(peer).address,
-                                              fleet::encode(made)});
+    if (const auto where = m_fleet.address_of(peer))
+        out.control.emplace_back(heartbeat_action{*where, fleet::encode(made)});
 }
 
 void entry_host::send_heartbeats(core::boot_instant now, entry_actions& out)
--- a/src/plantainward/fleet/fleet_view.cpp
+++ b/src/plantainward/fleet/fleet_view.cpp
@@ -1,6 +1,7 @@
 #include <plantainward/fleet/fleet_view.hpp>
 
 #include <plantainward/core/digest.hpp>
+#include <plantainward/succession/primary_lease.hpp>
 
 #include <algorithm>
 #include <functional>
@@ -12,6 +13,11 @@
 namespace
 {
 
+// A host that left the list may hold a lease that was proved just before, and
+// its timers fire late by some milliseconds.
+constexpr core::millis leave_patience =
+    succession::primary_lease::validity + core::millis(100);
+
 // Rounds whose instants are kept for echoes; 32 intervals are 13 s, longer
 // than any lease.
 constexpr std::size_t kept_rounds = 64;
@@ -22,6 +28,20 @@
     return found == one.services.end() ? nullptr : &found->second;
 }
 
+void learn_versions(peer_state& peer, const heartbeat& one)
+{
+    if (one.incarnation != peer.last.incarnation)
+    {
+        peer.confirmed_at = {};
+        peer.known_versions.clear();
+    }
+    for (const auto& [key, news] : one.services)
+    {
+        auto& version = peer.known_versions[key];
+        version = std::max(version, news.record_version);
+    }
+}
+
 std::uint64_t known_version(const peer_state& peer, const std::string& service)
 {
     const auto found = peer.known_versions.find(key_of(service));
@@ -38,8 +58,15 @@
 
 void fleet_view::set_members(const members& all, core::boot_instant now)
 {
+    for (const auto& [name, peer] : m_peers)
+        if (!all.contains(name))
+            m_left[name] = {peer, now};
     std::erase_if(m_peers,
                   [&](const auto& one) { return !all.contains(one.first); });
+    std::erase_if(m_left, [&](const auto& one) {
+        return all.contains(one.first) ||
+               now - one.second.left_at > leave_patience;
+    });
     for (const auto& [name, one] : all)
     {
         if (name == m_self)
@@ -136,6 +163,8 @@
 
 bool fleet_view::take(const heartbeat& one, core::boot_instant now)
 {
+    if (const auto left = m_left.find(one.host); left != m_left.end())
+        learn_versions(left->second.peer, one);
     const auto found = m_peers.find(one.host);
     if (found == m_peers.end())
         return false;
@@ -143,16 +172,7 @@
     const std::pair known{peer.last.incarnation, peer.last.sequence};
     if (std::pair{one.incarnation, one.sequence} < known)
         return false;
-    if (one.incarnation != peer.last.incarnation)
-    {
-        peer.confirmed_at = {};
-        peer.known_versions.clear();
-    }
-    for (const auto& [key, news] : one.services)
-    {
-        auto& version = peer.known_versions[key];
-        version = std::max(version, news.record_version);
-    }
+    learn_versions(peer, one);
     peer.last = one;
     peer.heard_at = now;
     if (one.echo_incarnation != m_incarnation)
@@ -231,24 +251,37 @@
     return count;
 }
 
-bool fleet_view::all_aware(const std::string& service,
-                           std::uint64_t version) const
+bool fleet_view::all_aware(const std::string& service, std::uint64_t version,
+                           core::boot_instant now) const
 {
-    return std::all_of(m_peers.begin(), m_peers.end(), [&](const auto& one) {
-        return known_version(one.second, service) >= version;
-    });
+    return unaware(service, version, now).empty();
 }
 
 std::vector<std::string> fleet_view::unaware(const std::string& service,
-                                             std::uint64_t version) const
+                                             std::uint64_t version,
+                                             core::boot_instant now) const
 {
     std::vector<std::string> names;
     for (const auto& [name, peer] : m_peers)
         if (known_version(peer, service) < version)
             names.push_back(name);
+    for (const auto& [name, left] : m_left)
+        if (now - left.left_at <= leave_patience &&
+            known_version(left.peer, service) < version)
+            names.push_back(name);
     return names;
 }
 
+std::optional<core::address>
+fleet_view::address_of(const std::string& member) const
+{
+    if (const auto found = m_peers.find(member); found != m_peers.end())
+        return found->second.address;
+    if (const auto left = m_left.find(member); left != m_left.end())
+        return left->second.peer.address;
+    return std::nullopt;
+}
+
 std::size_t fleet_view::doubters(const std::string& service,
                                  std::uint64_t version,
                                  core::boot_instant now) const
--- a/src/plantainward/fleet/fleet_view.hpp
+++ b/src/plantainward/fleet/fleet_view.hpp
@@ -116,12 +116,19 @@
     std::size_t members_aware(const std::string& service,
                               std::uint64_t version) const;
 
-    /// Whether every registered host knows this version or a newer one.
-    bool all_aware(const std::string& service, std::uint64_t version) const;
+    /// Whether every registered host, and every one that left the list within
+    /// the validity of a lease, knows this version or a newer one.
+    bool all_aware(const std::string& service, std::uint64_t version,
+                   core::boot_instant now) const;
 
-    /// Hosts that are not known to know this version of a record.
+    /// Hosts, with those that left lately, that are not known to know this
+    /// version of a record.
     std::vector<std::string> unaware(const std::string& service,
-                                     std::uint64_t version) const;
+                                     std::uint64_t version,
+                                     core::boot_instant now) const;
+
+    /// Where a host is reached that is registered or left lately.
+    std::optional<core::address> address_of(const std::string& member) const;
 
     /// Live voters that doubt the primary of this record; without this host.
     std::size_t doubters(const std::string& service, std::uint64_t version,
@@ -159,6 +166,12 @@
         core::boot_instant at;
     };
 
+    struct left_member
+    {
+        peer_state peer;
+        core::boot_instant left_at;
+    };
+
     void choose_voters();
     bool is_live(const peer_state& peer, core::boot_instant now) const;
     std::optional<core::boot_instant> sent_at(std::uint32_t sequence) const;
@@ -167,6 +180,8 @@
     std::uint64_t m_incarnation;
     fleet_options m_options;
     std::map<std::string, peer_state> m_peers;
+    /// Hosts that are no longer listed and may still hold a lease.
+    std::map<std::string, left_member> m_left;
     std::set<std::string> m_voters;
     /// Voters in the order in which this host asks them.
     std::vector<std::string> m_sources;
--- a/tests/entry/lease_tests.cpp
+++ b/tests/entry/lease_tests.cpp
@@ -75,7 +75,7 @@
     const auto answered = claimed_at + millis(400);
     if (const auto got = heartbeat_in(restarted.tick(answered)))
         deciding.take(*got, answered);
-    const bool agrees = deciding.all_aware(service, 6);
+    const bool agrees = deciding.all_aware(service, 6, answered);
 
     const auto later = asked + millis(700);
     restarted.on_routing(one_service(), later);
@@ -99,8 +99,8 @@
     host.on_records(settled(5), start, start);
     const auto proof = [&](boot_instant when) {
         const auto got = heartbeat_in(host.tick(when));
-        return got && got->services.at(fleet::key_of(service)).proof_age_ms >=
-                          0;
+        return got &&
+               got->services.at(fleet::key_of(service)).proof_age_ms >= 0;
     };
     CHECK(proof(start + millis(300)));
     // Nothing is heard of the list for the time after which hosts are removed.
--- a/tests/fleet/fleet_view_tests.cpp
+++ b/tests/fleet/fleet_view_tests.cpp
@@ -172,12 +172,12 @@
 {
     for (const char* name : {"a", "b", "c"})
         view.take(beat(name, 1, 1, 5), now);
-    CHECK(view.all_aware(service, 5));
+    CHECK(view.all_aware(service, 5, now));
     auto restarted = beat("a", 1, 0, 0);
     restarted.incarnation = 200;
     restarted.services.clear();
     view.take(restarted, now);
-    CHECK_FALSE(view.all_aware(service, 5));
+    CHECK_FALSE(view.all_aware(service, 5, now));
     LONGS_EQUAL(0, view.version_known_by("a", service));
 }
 
@@ -208,3 +208,26 @@
     view.take(beat("c", 2, 1, 5), now);
     CHECK(view.quorum_instant(service, 5, now).has_value());
 }
+
+TEST(fleet_view, a_host_that_left_the_list_is_waited_for_until_leases_are_over)
+{
+    // Failure: a host that was taken from the list while others still
+    // confirmed its leases was not asked, and used the replaced primary on.
+    const auto without_c = fleet::members{{"me", {{"1", 1}, "z", 100}},
+                                          {"a", {{"2", 1}, "z", 100}},
+                                          {"b", {{"3", 1}, "z", 100}}};
+    for (const char* name : {"a", "b"})
+        view.take(beat(name, 1, 1, 6), now);
+    view.take(beat("c", 1, 1, 5), now);
+    view.set_members(without_c, now);
+    LONGS_EQUAL(3, view.member_count());
+    CHECK_FALSE(view.all_aware(service, 6, now));
+    CHECK_FALSE(view.all_aware(service, 6, now + millis(1500)));
+    LONGS_EQUAL(1, view.unaware(service, 6, now).size());
+    STRCMP_EQUAL("4", view.address_of("c")->ip.c_str());
+    CHECK(view.all_aware(service, 6, now + millis(1700)));
+    // It counts as nothing else, but its agreement is taken.
+    CHECK_FALSE(view.take(beat("c", 2, 1, 6), now));
+    CHECK(view.all_aware(service, 6, now));
+    LONGS_EQUAL(3, view.voter_count());
+}
