--- a/tests/fleet/fleet_view_tests.cpp
+++ b/tests/fleet/fleet_view_tests.cpp
@@ -231,3 +231,42 @@
     CHECK(view.all_aware(service, 6, now));
     LONGS_EQUAL(3, view.voter_count());
 }
+
+TEST(fleet_view, a_voters_proof_does_not_outlive_a_restart_of_either_side)
+{
+    // 30 members: "me" has to be one that does not vote.
+    members all;
+    for (int i = 0; i < 30; ++i)
+        all["m" + std::to_string(i)] = {{std::to_string(i), 1}, "z", 100};
+    fleet_view chooser("m0", 1, {});
+    chooser.set_members(all, now);
+    const auto voter = *chooser.voters().begin();
+    std::string other;
+    for (const auto& [name, one] : all)
+        if (!chooser.voters().contains(name))
+            other = name;
+    fleet_view rests(other, 1, {});
+    rests.set_members(all, now);
+    rests.start_round(now);
+    auto proof = beat(voter, 1, 1, 5);
+    proof.services[key_of(service)].proof_age_ms = 100;
+    rests.take(proof, now + millis(400));
+    CHECK(rests.proof_instant(service, 5, now + millis(400)) ==
+          now - millis(100));
+    // A start of the voter that echoes nothing of this host yet.
+    auto restarted = beat(voter, 1, 0, 5);
+    restarted.incarnation = 200;
+    restarted.services[key_of(service)].proof_age_ms = 0;
+    rests.take(restarted, now + millis(500));
+    CHECK_FALSE(rests.proof_instant(service, 5, now + millis(500)).has_value());
+    // A late heartbeat of before its restart.
+    proof.sequence = 9;
+    rests.take(proof, now + millis(600));
+    CHECK_FALSE(rests.proof_instant(service, 5, now + millis(600)).has_value());
+    // An echo of an earlier start of this host.
+    fleet_view again(other, 2, {});
+    again.set_members(all, now);
+    again.start_round(now);
+    again.take(proof, now + millis(700));
+    CHECK_FALSE(again.proof_instant(service, 5, now + millis(700)).has_value());
+}
