A commit sent before another database led is never confirmed

Whether a commit counts was judged by the name of the primary alone. When a primary was replaced and led again within the time of a statement, a commit that it had made in between was told as done, though its log had been rolled back.

--- a/src/plantainward/pooling/pooler.cpp
+++ b/src/plantainward/pooling/pooler.cpp
@@ -126,8 +126,7 @@
     m_now = now;
     auto& known = m_services[service];
     const bool opens = !known.has_primary(now) || known.primary != upstream;
-    known.primary = upstream;
-    known.primary_until = until;
+    known.set_primary(upstream, until, now);
     known.primary_term = term;
     if (opens && known.has_primary(now))
         serve_queue();
--- a/src/plantainward/pooling/pooler_connections.cpp
+++ b/src/plantainward/pooling/pooler_connections.cpp
@@ -344,7 +344,7 @@
     // A primary that was replaced and is promoted again leads its old term
     // until then; what it commits before is rolled back.
     const bool is_current =
-        service.is_primary(one.upstream, m_now) &&
+        service.stayed_primary(one.upstream, one.sent_at, m_now) &&
         (!answer.position || answer.position->term >= service.primary_term);
     if (committed && answer.position)
         who.own_commit = freshness::mark{m_now, *answer.position};
--- a/src/plantainward/pooling/service_view.hpp
+++ b/src/plantainward/pooling/service_view.hpp
@@ -37,6 +37,9 @@
     core::boot_instant primary_until{};
     /// Term that it leads; 0: not known.
     upstream::term_number primary_term{0};
+    /// The last database that was the primary here, and since when.
+    std::string last_primary;
+    core::boot_instant leads_since{};
 
     bool has_primary(core::boot_instant now) const
     {
@@ -47,6 +50,24 @@
     {
         return upstream == primary && has_primary(now);
     }
+
+    /// Whether a database is the primary and no other one was since `sent`.
+    bool stayed_primary(const std::string& upstream, core::boot_instant sent,
+                        core::boot_instant now) const
+    {
+        return is_primary(upstream, now) && sent >= leads_since;
+    }
+
+    void set_primary(const std::string& upstream, core::boot_instant until,
+                     core::boot_instant now)
+    {
+        primary = upstream;
+        primary_until = until;
+        if (upstream.empty() || upstream == last_primary)
+            return;
+        last_primary = upstream;
+        leads_since = now;
+    }
 };
 
 /// Where a statement goes.
--- a/tests/pooling/pooler_tests.cpp
+++ b/tests/pooling/pooler_tests.cpp
@@ -312,3 +312,33 @@
     c.take(c.pool.tick(c.now));
     LONGS_EQUAL(id, c.closed.back());
 }
+
+TEST(pooler, a_commit_sent_before_its_database_was_replaced_stays_unknown)
+{
+    // Failure: the database led again when the answer came, but had committed
+    // while another one led, so the commit is in no log any more.
+    c.open_session(1, "cards");
+    c.ask(1, statement_kind::write, "WRITE k1 v1");
+    const auto id = c.let_open();
+    const auto until = c.now + millis(100'000);
+    c.take(c.pool.set_primary("ledger", {}, {}, c.now += millis(50)));
+    c.take(c.pool.set_primary("ledger", "r", until, c.now += millis(300)));
+    c.take(c.pool.set_primary("ledger", {}, {}, c.now += millis(50)));
+    c.take(c.pool.set_primary("ledger", "p", until, c.now += millis(300)));
+    c.succeed(id);
+    LONGS_EQUAL(1, c.replies.size());
+    CHECK(c.replies.front().reply.error == error_kind::outcome_unknown);
+}
+
+TEST(pooler, a_commit_during_a_claim_that_keeps_the_primary_is_confirmed)
+{
+    c.open_session(1, "cards");
+    c.ask(1, statement_kind::write, "WRITE k1 v1");
+    const auto id = c.let_open();
+    const auto until = c.now + millis(100'000);
+    c.take(c.pool.set_primary("ledger", {}, {}, c.now += millis(50)));
+    c.take(c.pool.set_primary("ledger", "p", until, c.now += millis(50)));
+    c.succeed(id);
+    LONGS_EQUAL(1, c.replies.size());
+    CHECK_FALSE(c.replies.front().reply.error.has_value());
+}
