A list of databases that lags behind a record is no cause to replace it

A primary that is missing, or an older start of it, counts 2.2 s after its record; a newer start counts at once.

--- a/src/plantainward/succession/succession.cpp
+++ b/src/plantainward/succession/succession.cpp
@@ -26,6 +26,10 @@
 // time while it goes on; two hosts don't replace one shortly after each other.
 constexpr core::millis writer_first{10'000};
 
+// A host's list of databases may be this much older than a record: changes are
+// gathered for up to 1.5 s, and a lapsed registration is back after 2 s.
+constexpr core::millis list_patience{2200};
+
 // Pause after a claim that ended without a result.
 constexpr core::millis retry_pause{300};
 
@@ -85,9 +89,11 @@
     const auto primary = std::find_if(
         upstreams.begin(), upstreams.end(),
         [&](const routes::upstream& one) { return one.id == record.primary; });
+    const bool list_may_lag = now - m_record_since < list_patience;
     if (primary == upstreams.end())
-        return claim_cause::gone;
-    if (primary->born_ms != record.born_ms)
+        return list_may_lag ? std::nullopt : std::optional(claim_cause::gone);
+    if (primary->born_ms != record.born_ms &&
+        (!list_may_lag || primary->born_ms > record.born_ms))
         return claim_cause::restarted;
     if (primary->leaving)
         return claim_cause::leaving;
--- a/tests/succession/succession_tests.cpp
+++ b/tests/succession/succession_tests.cpp
@@ -156,3 +156,22 @@
     one.on_promote(10, promote_end::rejected, now);
     CHECK(one.running()->stage() == claim_stage::gathering);
 }
+
+// Guards against the replacement of a new primary by a host whose list lags.
+TEST(succession, a_primary_that_this_hosts_list_does_not_show_yet_is_no_cause)
+{
+    one.take({9, leadership_phase::settled, "new", 1, "other"}, now);
+    CHECK_FALSE(claims());
+    now += millis(2000);
+    CHECK_FALSE(claims());
+    now += millis(300);
+    CHECK(claims());
+}
+
+TEST(succession, a_list_that_is_older_than_the_record_shows_no_restart)
+{
+    one.take({9, leadership_phase::settled, "p", 2, "other"}, now);
+    CHECK_FALSE(claims());
+    view.claim.upstreams.front().born_ms = 3;
+    CHECK(claims());
+}
