A promotion call is broken off before its claim writes anything more

A claim whose chosen database led already settled while its call was under way; the call could then follow the next promotion with a lower token. The call is now aborted before any further write of the claim.

a_call_is_broken_off_when_its_database_leads_already is red without the abort. a_call_for_the_present_primary_is_not_overtaken needed a claim that called for a primary that had come back; such a claim settles without a call now, so the test freezes the host after its call instead. It checks the same and asks for one step more (two hosts with a call). The simulated fleet names the newest call.

--- a/src/plantainward/entry/entry_host.cpp
+++ b/src/plantainward/entry/entry_host.cpp
@@ -121,8 +121,8 @@
              std::to_string(record.version));
     tell_claim_end(one, now);
     // What this host promotes must not overtake what the new writer does.
-    if (!one.running() && m_calls.contains(service))
-        out.control.emplace_back(abort_promotion_action{service});
+    if (!one.running())
+        abort_call(service, out);
     update_primary(one, now, out);
     return true;
 }
@@ -328,6 +328,12 @@
     out.control.emplace_back(promote_upstream_action{service, wanted});
 }
 
+void entry_host::abort_call(const std::string& service, entry_actions& out)
+{
+    if (m_calls.contains(service))
+        out.control.emplace_back(abort_promotion_action{service});
+}
+
 void entry_host::tell_claim_end(succession::succession& one,
                                 core::boot_instant now)
 {
@@ -364,7 +370,12 @@
             [&](const auto& one) {
                 using kind = std::decay_t<decltype(one)>;
                 if constexpr (std::is_same_v<kind, succession::write_action>)
+                {
+                    // A call whose effect shows, or that is given up, must not
+                    // arrive after what follows this write.
+                    abort_call(service, out);
                     out.control.emplace_back(write_record_action{service, one});
+                }
                 else if constexpr (std::is_same_v<kind,
                                                   succession::promote_action>)
                     promote(service, one, now, out);
--- a/src/plantainward/entry/entry_host.hpp
+++ b/src/plantainward/entry/entry_host.hpp
@@ -241,6 +241,7 @@
     void promote(const std::string& service,
                  const succession::promote_action& wanted,
                  core::boot_instant now, entry_actions& out);
+    void abort_call(const std::string& service, entry_actions& out);
     void tell_claim_end(succession::succession& one, core::boot_instant now);
     void run_claims(core::boot_instant now, entry_actions& out);
     void update_upstreams(core::boot_instant now, entry_actions& out);
--- a/tests/entry/promotion_tests.cpp
+++ b/tests/entry/promotion_tests.cpp
@@ -134,11 +134,16 @@
 TEST(promotion, a_call_for_the_present_primary_is_not_overtaken)
 {
     promoting_world world;
+    world.set_promotion_delay({millis(1900), millis(1900)});
     world.crash_database("db-a");
-    world.freeze(world.wait_for_claim(), millis(2500));
+    const auto first = world.wait_for_call();
+    world.freeze(first, millis(6000));
     world.recover_database("db-a");
-    world.set_promotion_delay({millis(1900), millis(1900)});
-    CHECK_FALSE(world.wait_for_call().empty());
+    const auto second = world.run_until([&] {
+        const auto now = world.promoting_host();
+        return now == first ? std::string() : now;
+    });
+    CHECK_FALSE(second.empty());
     world.run_for(millis(200));
     world.set_promotion_delay({});
     world.crash_database("db-a");
@@ -146,6 +151,23 @@
     world.check_kept();
 }
 
+// A call that is left behind could overtake the next promotion.
+TEST(promotion, a_call_is_broken_off_when_its_database_leads_already)
+{
+    promoting_world world;
+    world.set_promotion_delay({millis(1200), millis(1200)});
+    world.crash_database("db-a");
+    CHECK_FALSE(world.wait_for_call().empty());
+    // An earlier promotion takes effect.
+    for (const std::string id : {"db-b", "db-c"})
+    {
+        world.database(id).is_primary = true;
+        world.database(id).term = 2;
+    }
+    world.run_for(millis(400));
+    CHECK(world.promoting_host().empty());
+}
+
 // Load: the rank-first host hears of a leaving primary 0.5 s after the others.
 TEST(promotion, the_host_that_hears_late_of_a_leaving_primary_takes_no_turn)
 {
--- a/tests/support/fleet_world_platform.cpp
+++ b/tests/support/fleet_world_platform.cpp
@@ -73,7 +73,7 @@
 std::string fleet_world::promoting_host() const
 {
     return m_promotions.empty() ? std::string()
-                                : m_promotions.begin()->second.what.host;
+                                : m_promotions.rbegin()->second.what.host;
 }
 
 std::string fleet_world::claiming_host()
