A host without answers to its promotion calls gives the claim up

A host that reaches the table service and its peers but not the promotion address renewed its claim for ever: each renewal made the record young, so nobody took it over, and the service had no primary (15 s in the test). After two calls without an answer the claim ends, the host says so in its heartbeats and pauses.

A restarted host that finds its own claim with a promotion under way waits as long as any other host would: the call of the process before may still arrive.

--- a/src/plantainward/entry/entry_host_fleet.cpp
+++ b/src/plantainward/entry/entry_host_fleet.cpp
@@ -87,7 +87,7 @@
     const auto& record = one.lease().record();
     made.record_version = record.version;
     made.watches_primary = watches(service);
-    made.cannot_write = one.cannot_write() || (!m_claims && !one.running());
+    made.cannot_write = one.is_unanswered() || (!m_claims && !one.running());
     made.doubts_primary = m_pooler.is_doubted(service, record.primary, now);
     if (const auto proved = one.lease().proved_at())
         made.proof_age_ms = age_in_ms(now, *proved);
--- a/src/plantainward/succession/claim.cpp
+++ b/src/plantainward/succession/claim.cpp
@@ -35,6 +35,10 @@
 // not show by then is repeated.
 constexpr core::millis promote_patience{2500};
 
+// After this many calls without an answer another host may have a better way
+// to the platform.
+constexpr int most_unanswered = 2;
+
 // A promotion takes some hundred ms up to a second, with slack. What leads its
 // old term for longer after the call was the platform's primary already, and
 // the call changes nothing.
@@ -348,8 +352,11 @@
         settle(view, m_record.primary, now, out);
         return out;
     }
-    if (now - m_accepted_at.value_or(m_promoted_at) > promote_patience)
-        m_stage = claim_stage::gathering;
+    if (now - m_accepted_at.value_or(m_promoted_at) <= promote_patience)
+        return out;
+    if (!m_accepted_at && ++m_unanswered >= most_unanswered)
+        return finish(claim_end::unanswered);
+    m_stage = claim_stage::gathering;
     return out;
 }
 
--- a/src/plantainward/succession/claim.hpp
+++ b/src/plantainward/succession/claim.hpp
@@ -145,12 +145,15 @@
     /// The answer to the conditional write came too late for its promotion.
     too_late,
     /// Another host has written a newer record.
-    superseded
+    superseded,
+    /// The platform did not answer this host's promotion calls.
+    unanswered
 };
 
 /// Names of the reasons in logs.
-inline constexpr core::enum_names<claim_end, 5> end_names{
-    {"settled", "conflict", "write_unknown", "too_late", "superseded"}};
+inline constexpr core::enum_names<claim_end, 6> end_names{
+    {"settled", "conflict", "write_unknown", "too_late", "superseded",
+     "unanswered"}};
 
 /// One attempt of this host to replace the primary of a service.
 ///
@@ -227,6 +230,7 @@
     core::boot_instant m_last_asked{};
     core::boot_instant m_promoted_at{};
     std::optional<core::boot_instant> m_accepted_at;
+    int m_unanswered{0};
     /// An earlier promotion may have been asked for than the one under way.
     bool m_promoted_before{false};
     std::map<std::string, answer> m_answers;
--- a/src/plantainward/succession/succession.cpp
+++ b/src/plantainward/succession/succession.cpp
@@ -30,6 +30,10 @@
 // gathered for up to 1.5 s, and a lapsed registration is back after 2 s.
 constexpr core::millis list_patience{2200};
 
+// Pause of a host whose promotion calls are not answered: others take its claim
+// over meanwhile.
+constexpr core::millis unanswered_pause{5000};
+
 // Pause after a claim that ended without a result.
 constexpr core::millis retry_pause{300};
 
@@ -77,10 +81,12 @@
     {
         // A record of this host without a claim: the answer to its write was
         // lost, or the process has restarted.
-        if (record.writer == m_self)
+        const bool is_own = record.writer == m_self;
+        if (is_own && !record.promoting)
             return claim_cause::abandoned;
+        // Another process of this host may have a promotion call under way.
         const auto patience =
-            view.writer_goes_on ? takeover_stuck : takeover_silence;
+            view.writer_goes_on && !is_own ? takeover_stuck : takeover_silence;
         if (now - m_record_since < patience)
             return std::nullopt;
         return claim_cause::abandoned;
@@ -149,7 +155,7 @@
 {
     if (id != m_last_write)
         return {};
-    m_cannot_write = end == write_end::unknown;
+    m_is_unanswered = end == write_end::unknown;
     if (!m_claim)
         return {};
     auto out = number_writes(m_claim->on_write(end, version, now));
@@ -182,8 +188,10 @@
 {
     if (!m_claim || m_claim->stage() != claim_stage::finished)
         return;
+    const bool is_unanswered = m_claim->end() == claim_end::unanswered;
+    m_is_unanswered = m_is_unanswered || is_unanswered;
+    m_not_before = now + (is_unanswered ? unanswered_pause : retry_pause);
     end_claim(m_claim->end(), m_claim->reached());
-    m_not_before = now + retry_pause;
 }
 
 void succession::end_claim(claim_end end, claim_stage reached)
--- a/src/plantainward/succession/succession.hpp
+++ b/src/plantainward/succession/succession.hpp
@@ -55,8 +55,8 @@
         m_lease.prove(version, at);
     }
 
-    /// Whether the last write of the record had no answer.
-    bool cannot_write() const { return m_cannot_write; }
+    /// Whether this host gets no answers to what a claim asks for.
+    bool is_unanswered() const { return m_is_unanswered; }
 
     /// Starts, goes on with or ends a claim.
     claim_actions tick(const succession_view& view, core::boot_instant now);
@@ -103,7 +103,7 @@
     core::boot_instant m_record_since{};
     std::optional<claim_cause> m_cause;
     core::boot_instant m_cause_since{};
-    bool m_cannot_write{false};
+    bool m_is_unanswered{false};
     core::boot_instant m_not_before{};
     std::uint64_t m_last_write{0};
     std::optional<claim> m_claim;
