A leaving primary is kept until another database stays

A primary that leaves is replaced once a database is registered that stays; where none stays, leaving ones are kept or promoted as others are.

--- a/src/plantainward/succession/claim.cpp
+++ b/src/plantainward/succession/claim.cpp
@@ -55,6 +55,15 @@
     return nullptr;
 }
 
+// Whether a database may be the primary: one that leaves is used only where
+// none stays.
+bool may_lead(const claim_view& view, const routes::upstream& one)
+{
+    return !one.leaving ||
+           std::all_of(view.upstreams.begin(), view.upstreams.end(),
+                       [](const auto& other) { return other.leaving; });
+}
+
 } // namespace
 
 claim::claim(std::string self, leadership before, claim_cause cause,
@@ -213,8 +222,9 @@
     for (const auto& one : view.upstreams)
     {
         const auto* known = answer_of(one.id);
-        if (known == nullptr || one.leaving || !known->status.is_primary ||
-            known->status.received < longest || known->status.term < highest)
+        if (known == nullptr || !may_lead(view, one) ||
+            !known->status.is_primary || known->status.received < longest ||
+            known->status.term < highest)
             continue;
         found = one.id;
         highest = known->status.term;
@@ -227,7 +237,7 @@
 {
     const auto* known = find(view, m_record.primary);
     const auto* told = answer_of(m_record.primary);
-    if (!m_record.promoting || known == nullptr || known->leaving ||
+    if (!m_record.promoting || known == nullptr || !may_lead(view, *known) ||
         known->born_ms != m_record.born_ms || told == nullptr ||
         told->asked < m_claimed_at || !told->status.is_primary ||
         told->status.term <= m_record.term)
@@ -242,7 +252,8 @@
     for (const auto& one : view.upstreams)
     {
         const auto* known = answer_of(one.id);
-        if (known == nullptr || one.leaving || m_rejected.contains(one.id))
+        if (known == nullptr || !may_lead(view, one) ||
+            m_rejected.contains(one.id))
             continue;
         if (best && known->status.received <= longest)
             continue;
@@ -278,8 +289,8 @@
 {
     const auto* known = find(view, m_before.primary);
     const auto* old = answer_of(m_before.primary);
-    if (m_demoted_at || known == nullptr || !known->leaving || old == nullptr ||
-        !old->status.is_primary)
+    if (m_demoted_at || known == nullptr || may_lead(view, *known) ||
+        old == nullptr || !old->status.is_primary)
         return false;
     m_demoted_at = m_last_asked;
     out.emplace_back(demote_action{m_before.primary, old->status.term + 1});
--- a/src/plantainward/succession/succession.cpp
+++ b/src/plantainward/succession/succession.cpp
@@ -101,7 +101,10 @@
     if (primary->born_ms != record.born_ms &&
         (!list_may_lag || primary->born_ms > record.born_ms))
         return claim_cause::restarted;
-    if (primary->leaving)
+    const bool another_stays =
+        std::any_of(upstreams.begin(), upstreams.end(),
+                    [](const routes::upstream& one) { return !one.leaving; });
+    if (primary->leaving && another_stays)
         return claim_cause::leaving;
     if (is_lost(view, record.writer == m_self))
         return claim_cause::lost;
--- a/tests/succession/claim_tests.cpp
+++ b/tests/succession/claim_tests.cpp
@@ -405,6 +405,30 @@
     LONGS_EQUAL(4, find<write_action>(settling)->record.term);
 }
 
+// Guards against a service without a primary while all its databases leave.
+TEST(claim, where_all_databases_leave_the_primary_is_kept_or_one_promoted)
+{
+    claim_case c(claim_cause::lost);
+    for (auto& one : c.view.upstreams)
+        one.leaving = true;
+    c.write_claim();
+    c.aware = 3;
+    c.tick_after(millis(1));
+    c.now += millis(5);
+    c.all_answer();
+    const auto promoting = c.tick_after(millis(1));
+    CHECK(find<demote_action>(promoting) == nullptr);
+    STRCMP_EQUAL("r2", find<write_action>(promoting)->record.primary.c_str());
+    c.one.on_write(write_end::written, 9, c.now);
+    c.one.on_promote(promote_end::rejected, c.now);
+    c.now += millis(60);
+    c.all_answer();
+    c.one.on_status("p", c.now, status(true, 3, {3, 14}));
+    const auto keeping = c.tick_after(millis(1));
+    CHECK(find<demote_action>(keeping) == nullptr);
+    STRCMP_EQUAL("p", find<write_action>(keeping)->record.primary.c_str());
+}
+
 TEST(claim, a_rejected_database_is_passed_over_for_the_next)
 {
     claim_case c(claim_cause::lost);
--- a/tests/succession/succession_tests.cpp
+++ b/tests/succession/succession_tests.cpp
@@ -168,6 +168,17 @@
     CHECK(claims());
 }
 
+// Guards against a service without a primary while all its databases leave.
+TEST(succession, a_leaving_primary_is_kept_until_another_database_stays)
+{
+    view.claim.upstreams.front().leaving = true;
+    view.claim.upstreams.push_back(
+        {"r", "ledger", {"r", 1}, "a", true, false, 1});
+    CHECK_FALSE(claims());
+    view.claim.upstreams.back().leaving = false;
+    CHECK(claims());
+}
+
 TEST(succession, a_list_that_is_older_than_the_record_shows_no_restart)
 {
     one.take({9, leadership_phase::settled, "p", 2, "other"}, now);
