What leads an older term than another database is not settled

Cause: a promotion whose call was accepted 1.5 s before was taken as done when its database answered that it leads its old term. A database that was silent since the call may lead that term although another one has led since. The present primary leads the newest term that any database has told.

--- a/src/plantainward/succession/claim.cpp
+++ b/src/plantainward/succession/claim.cpp
@@ -339,8 +339,16 @@
 {
     if (chosen.asked < m_promoted_at || !chosen.status.is_primary)
         return false;
-    return chosen.status.term > m_record.term ||
-           (m_accepted_at && chosen.asked - *m_accepted_at > longest_promotion);
+    if (chosen.status.term > m_record.term)
+        return true;
+    // The present primary leads the newest term, however long others are
+    // silent.
+    const bool is_newest =
+        std::none_of(m_answers.begin(), m_answers.end(), [&](const auto& one) {
+            return one.second.status.term > chosen.status.term;
+        });
+    return is_newest && m_accepted_at &&
+           chosen.asked - *m_accepted_at > longest_promotion;
 }
 
 claim_actions claim::tick(const claim_view& view, core::boot_instant now)
--- a/tests/succession/claim_tests.cpp
+++ b/tests/succession/claim_tests.cpp
@@ -297,6 +297,30 @@
     CHECK(write->record.phase == leadership_phase::settled);
 }
 
+// Guards against writes at a database that does not lead yet, although its
+// call was accepted long ago: it was silent meanwhile.
+TEST(claim, what_leads_an_older_term_than_another_database_is_not_settled)
+{
+    // "r2" led term 2 and was replaced by "p", which led term 3.
+    claim_case c(claim_cause::lost);
+    c.write_claim();
+    c.aware = 3;
+    c.tick_after(millis(1));
+    c.now += millis(5);
+    c.one.on_status("p", c.now, {std::nullopt, true});
+    c.one.on_status("r1", c.now, status(false, 3, {2, 10}));
+    c.one.on_status("r2", c.now, status(true, 2, {2, 12}));
+    c.tick_after(millis(1));
+    CHECK(find<promote_action>(c.one.on_write(write_end::written, 9, c.now)) !=
+          nullptr);
+    c.one.on_promote(promote_end::accepted, c.now);
+    c.now += millis(1600);
+    c.one.on_status("r1", c.now, status(false, 3, {2, 10}));
+    c.one.on_status("r2", c.now, status(true, 2, {2, 12}));
+    CHECK(find<write_action>(c.tick_after(millis(1))) == nullptr);
+    CHECK(c.one.stage() == claim_stage::promoting);
+}
+
 // Guards against the return to a primary that a promotion may have replaced.
 TEST(claim, after_a_promotion_of_unknown_end_the_old_primary_is_not_kept)
 {
