A host that is behind with the tables does not act first

Cause: for 10 s after its record only the writer replaces the primary while it lives and its writes are answered. A writer cut from the table service writes nothing and so never tells that it can't; it does not hear of a primary that leaves, and the others wait for it.

--- a/src/plantainward/entry/entry_host_fleet.cpp
+++ b/src/plantainward/entry/entry_host_fleet.cpp
@@ -31,6 +31,10 @@
 // Between reads of tables because of a peer's newer version.
 constexpr core::millis table_read_interval{500};
 
+// Changes of a table are gathered for up to 1.5 s; a host that is behind for
+// longer does not hear of a primary that leaves.
+constexpr core::millis longest_behind{2000};
+
 // Between removals of lost members, so that news of one arrives first.
 constexpr core::millis removal_interval{1000};
 
@@ -87,7 +91,10 @@
     const auto& record = one.lease().record();
     made.record_version = record.version;
     made.watches_primary = watches(service);
-    made.cannot_write = one.is_unanswered() || (!m_claims && !one.running());
+    const bool is_behind =
+        m_behind_since && now - *m_behind_since > longest_behind;
+    made.cannot_write =
+        one.is_unanswered() || ((!m_claims || is_behind) && !one.running());
     made.doubts_primary = m_pooler.is_doubted(service, record.primary, now);
     if (const auto proved = one.lease().proved_at())
         made.proof_age_ms = age_in_ms(now, *proved);
--- a/src/plantainward/fleet/heartbeat.hpp
+++ b/src/plantainward/fleet/heartbeat.hpp
@@ -31,7 +31,8 @@
     /// The host gets no answer from the primary.
     bool doubts_primary{false};
     /// The host's last write of the record had no answer, so that a claim of
-    /// its own does not go on, or the host is stopping and starts none.
+    /// its own does not go on, or it starts none: it is stopping, or the tables
+    /// that it knows are old.
     bool cannot_write{false};
     /// Newest mark, with its age when the heartbeat was made; negative: none.
     upstream::log_point mark;
--- a/tests/entry/promotion_tests.cpp
+++ b/tests/entry/promotion_tests.cpp
@@ -304,3 +304,24 @@
     LONGS_EQUAL(1, world.history().promotions);
     world.check_kept();
 }
+
+// Guards against a primary that leaves and stays in use for 10 s: the host that
+// acts first does not hear of it.
+TEST(promotion, a_leaving_primary_is_replaced_though_the_last_writer_is_cut_off)
+{
+    promoting_world world;
+    const auto writer = world.first_in_rank();
+    world.set_leaving(world.leader());
+    world.run_for(millis(2500));
+    LONGS_EQUAL(2, world.history().promotions);
+    STRCMP_EQUAL(writer.c_str(),
+                 world.promotions().calls().back().host.c_str());
+    world.cut_store(writer);
+    const auto old = world.leader();
+    world.set_leaving(old);
+    world.run_for(millis(4000));
+    CHECK(world.leader() != old);
+    world.cut_store(writer, false);
+    world.run_for(millis(12'000));
+    world.check_kept();
+}
