A peer that is as far behind does not prove a host's tables new

Cause: each heartbeat of a peer that knew no newer tables reset the time since which a host is behind, so two hosts cut from the table service hid it from each other: neither read its tables again nor told that it is behind.

Evidence: simulated fleet of 5 with the last writer and another host cut from the table service: a leaving primary is not replaced within 5 s without the change and is with it.

--- a/src/plantainward/entry/entry_host.hpp
+++ b/src/plantainward/entry/entry_host.hpp
@@ -283,6 +283,9 @@
     upstream_directory m_directory;
     std::vector<routes::upstream> m_upstreams;
     std::uint64_t m_upstreams_version{0};
+    /// Newest versions that any peer has told.
+    std::uint64_t m_told_routing{0};
+    std::uint64_t m_told_upstreams{0};
     /// Version that a peer knew when the list was last asked for.
     std::uint64_t m_wanted_upstreams{0};
     std::map<fleet::service_key, std::string> m_service_keys;
--- a/src/plantainward/entry/entry_host_fleet.cpp
+++ b/src/plantainward/entry/entry_host_fleet.cpp
@@ -61,9 +61,11 @@
                                       core::boot_instant now,
                                       entry_actions& out)
 {
-    const bool routing_behind =
-        got.routing_version > m_pooler.routing().version;
-    const bool upstreams_behind = got.upstreams_version > m_upstreams_version;
+    // A peer that is as far behind does not show that this host is not.
+    m_told_routing = std::max(m_told_routing, got.routing_version);
+    m_told_upstreams = std::max(m_told_upstreams, got.upstreams_version);
+    const bool routing_behind = m_told_routing > m_pooler.routing().version;
+    const bool upstreams_behind = m_told_upstreams > m_upstreams_version;
     if (!routing_behind && !upstreams_behind)
     {
         m_behind_since.reset();
@@ -79,7 +81,7 @@
         out.control.emplace_back(read_routing_action{});
     if (!upstreams_behind)
         return;
-    m_wanted_upstreams = got.upstreams_version;
+    m_wanted_upstreams = m_told_upstreams;
     out.control.emplace_back(read_upstreams_action{});
 }
 
--- a/tests/entry/promotion_tests.cpp
+++ b/tests/entry/promotion_tests.cpp
@@ -325,3 +325,19 @@
     world.run_for(millis(12'000));
     world.check_kept();
 }
+
+// Guards against the same: a peer that is as far behind does not show that the
+// host knows the newest tables.
+TEST(promotion, a_leaving_primary_is_replaced_though_two_hosts_are_cut_off)
+{
+    promoting_world world;
+    const auto writer = world.first_in_rank();
+    world.set_leaving(world.leader());
+    world.run_for(millis(2500));
+    world.cut_store(writer);
+    world.cut_store(writer == "host-0" ? "host-1" : "host-0");
+    const auto old = world.leader();
+    world.set_leaving(old);
+    world.run_for(millis(5000));
+    CHECK(world.leader() != old);
+}
