Failing test: a commit without writes in a new term is called unknown

A new primary's log may end in the term before until its first write. The commit of a transaction that only read is then answered with that position and compared with the recorded term. Such a commit keeps nothing, so only commits that wrote need the comparison.

--- a/tests/pooling/pooler_tests.cpp
+++ b/tests/pooling/pooler_tests.cpp
@@ -107,6 +107,16 @@
     CHECK(c.replies.back().reply.error == error_kind::outcome_unknown);
 }
 
+// A new primary's log ends in an earlier term until its first write.
+TEST(pooler, a_commit_without_writes_is_done_before_the_first_write_of_a_term)
+{
+    c.take(c.pool.set_primary("ledger", "p", c.now + millis(1000), c.now, 2));
+    const auto id = c.begin_with(statement_kind::read, "READ a");
+    c.ask(1, statement_kind::commit, "COMMIT");
+    c.succeed(id);
+    CHECK_FALSE(c.replies.back().reply.error.has_value());
+}
+
 TEST(pooler, a_commit_in_the_recorded_term_is_done)
 {
     c.take(c.pool.set_primary("ledger", "p", c.now + millis(1000), c.now, 1));
