--- a/src/plantainward/pooling/pooler.cpp
+++ b/src/plantainward/pooling/pooler.cpp
@@ -295,6 +295,8 @@
     made.route = route;
     const bool writes = writes_data(who, one);
     const bool in_transaction = who.transaction.has_value();
+    if (in_transaction && writes)
+        who.transaction->wrote = true;
     made.needs_primary = writes || route.rule == routes::read_rule::latest ||
                          (in_transaction && !who.transaction->read_only);
     made.begins = in_transaction && !who.transaction->has_started();
--- a/src/plantainward/pooling/pooler_connections.cpp
+++ b/src/plantainward/pooling/pooler_connections.cpp
@@ -342,10 +342,16 @@
     const bool committed =
         what.is_final && (!who.transaction || !who.transaction->read_only);
     // A primary that was replaced and is promoted again leads its old term
-    // until then; what it commits before is rolled back.
+    // until then; what it commits before is rolled back. Without a write the
+    // log may still end in that term.
+    const bool keeps_data =
+        committed && (!who.transaction || who.transaction->wrote);
+    const bool is_of_earlier_term =
+        keeps_data && answer.position &&
+        answer.position->term < service.primary_term;
     const bool is_current =
         service.stayed_primary(one.upstream, one.sent_at, m_now) &&
-        (!answer.position || answer.position->term >= service.primary_term);
+        !is_of_earlier_term;
     if (committed && answer.position)
         who.own_commit = freshness::mark{m_now, *answer.position};
     const bool stays = who.transaction && !ends_transaction(what);
--- a/src/plantainward/pooling/session.hpp
+++ b/src/plantainward/pooling/session.hpp
@@ -26,6 +26,8 @@
 struct open_transaction
 {
     bool read_only{false};
+    /// A statement of it wrote.
+    bool wrote{false};
     core::boot_instant began{};
     /// Route in force when it began; holds until its end.
     routes::route route;
