A busy database is waited for where the best log lacks a whole term

Cause: the third database of the service was busy and did not tell its status within 350 ms, and the only one that did was a primary of two terms before that had never followed. It was promoted and all commits of the term between were lost. The record's term now tells that a log lacks the replaced primary's term; then databases that run and have not answered are waited for up to 2 s.

a_busy_database_is_waited_for_where_the_others_lack_a_term is red without it.

--- a/src/plantainward/succession/claim.cpp
+++ b/src/plantainward/succession/claim.cpp
@@ -20,6 +20,11 @@
 // Wait for the status of databases that don't answer, after the fence.
 constexpr core::millis answer_patience{350};
 
+// The same where the best log known ends before the term of the replaced
+// primary, so that what was committed since would be lost: a busy database
+// answers one question in a few.
+constexpr core::millis old_log_patience{2000};
+
 // Wait for a replica to reach the end of a demoted primary's log; a lagging
 // replica still receives within a network delay.
 constexpr core::millis catch_up_patience{1000};
@@ -283,6 +288,23 @@
                        });
 }
 
+// Whether a database that runs and has not answered may have what the best
+// known log lacks of the replaced primary's term.
+bool claim::waits_for_newer_log(const claim_view& view, const std::string& best,
+                                core::boot_instant now) const
+{
+    const bool is_old = answer_of(best)->status.received.term < m_before.term;
+    if (!is_old || now - *m_fenced_at > old_log_patience)
+        return false;
+    return std::any_of(view.upstreams.begin(), view.upstreams.end(),
+                       [&](const routes::upstream& one) {
+                           return one.id != m_before.primary &&
+                                  may_lead(view, one) &&
+                                  answer_of(one.id) == nullptr &&
+                                  !m_down_at.contains(one.id);
+                       });
+}
+
 // Orders a leaving primary to follow, once; true when that was needed now. One
 // that stays is not told: promoting it again would not make it lead again.
 bool claim::demote_old_primary(const claim_view& view, claim_actions& out)
@@ -314,7 +336,7 @@
     if (!fenced || demote_old_primary(view, out) || !has_everything(view, now))
         return;
     const auto best = best_candidate(view);
-    if (!best)
+    if (!best || waits_for_newer_log(view, *best, now))
         return;
     // A demoted primary's log is final, and a replica may still reach its end.
     const auto* old = answer_of(m_before.primary);
--- a/src/plantainward/succession/claim.hpp
+++ b/src/plantainward/succession/claim.hpp
@@ -211,6 +211,8 @@
                 core::boot_instant now, claim_actions& out);
     std::optional<std::string> promoted_before(const claim_view& view) const;
     const answer* answer_of(const std::string& upstream) const;
+    bool waits_for_newer_log(const claim_view& view, const std::string& best,
+                             core::boot_instant now) const;
     bool has_promoted(const answer& chosen) const;
 
     std::string m_self;
--- a/tests/succession/claim_tests.cpp
+++ b/tests/succession/claim_tests.cpp
@@ -453,6 +453,42 @@
     STRCMP_EQUAL("p", find<write_action>(keeping)->record.primary.c_str());
 }
 
+// Guards against the promotion of a log that lacks a whole term while the
+// database that has it is only busy.
+TEST(claim, a_busy_database_is_waited_for_where_the_others_lack_a_term)
+{
+    claim_case c(claim_cause::lost);
+    c.one = claim("me", {5, leadership_phase::settled, "p", 7, "other", 4},
+                  claim_cause::lost, c.now);
+    c.write_claim();
+    c.aware = 3;
+    c.tick_after(millis(1));
+    c.now += millis(5);
+    c.one.on_status("r1", c.now, status(true, 3, {3, 90}));
+    CHECK(find<write_action>(c.tick_after(millis(400))) == nullptr);
+    c.one.on_status("r2", c.now, status(false, 4, {4, 120}));
+    const auto actions = c.tick_after(millis(1));
+    const auto* write = find<write_action>(actions);
+    CHECK(write != nullptr);
+    STRCMP_EQUAL("r2", write->record.primary.c_str());
+}
+
+TEST(claim, a_log_that_lacks_a_term_is_promoted_when_no_other_answers)
+{
+    claim_case c(claim_cause::lost);
+    c.one = claim("me", {5, leadership_phase::settled, "p", 7, "other", 4},
+                  claim_cause::lost, c.now);
+    c.write_claim();
+    c.aware = 3;
+    c.tick_after(millis(1));
+    c.now += millis(5);
+    c.one.on_status("r1", c.now, status(true, 3, {3, 90}));
+    const auto actions = c.tick_after(millis(2100));
+    const auto* write = find<write_action>(actions);
+    CHECK(write != nullptr);
+    STRCMP_EQUAL("r1", write->record.primary.c_str());
+}
+
 TEST(claim, a_rejected_database_is_passed_over_for_the_next)
 {
     claim_case c(claim_cause::lost);
