The voters are a shared, versioned set; a quorum is its majority

Cause: each host derived the voters from its own list of hosts, so two hosts could count different voters, and quorums were padded for it: a proof needed more than two thirds, a fence a majority.

Change: the set is a row beside the records of primaries (read with them, so no further read), created by the first host, changed by conditional writes in two steps: a changed set keeps the voters before it, and a claim needs a majority of both, until no proof of theirs can be valid. Heartbeats carry the version that the sender read; voters of another version confirm nothing. The write that begins a claim is conditional on the set's row. A host claims only with a majority of live voters in sight, and only such a host removes a silent host's registration (before: any host after 24 s). A voter is replaced 20 s after its registration is gone, so that a roll changes nothing. Voters spread over failure domains, larger hosts more often. Proofs that others report count for voters too. Voters that have not read the records for 300 s confirm only all together, so a set can be completed when a majority is lost for good.

A stopped feed is continued where it was, not read anew.

Ruled out: reading the set by a call of its own (295 calls at a start); the set from heartbeats alone (a voter could miss a claim made before a change).

--- /dev/null
+++ b/src/plantainward/entry/entry_host_voters.cpp
@@ -0,0 +1,130 @@
+// The shared voter set: reading, changing and repairing it.
+
+#include <plantainward/entry/entry_host.hpp>
+
+#include <plantainward/core/digest.hpp>
+
+#include <algorithm>
+
+namespace plantainward::entry
+{
+
+namespace
+{
+
+// Hosts that start together read the records this long after their first list
+// of hosts. The first of them creates the voter set meanwhile, so that one read
+// of each host is enough.
+constexpr core::millis first_read_delay{300};
+
+// Age of the records from which a voter reads them again, so that it may go on
+// confirming; less than half of the limit.
+constexpr core::millis record_refresh_interval{120'000};
+
+std::string description_of(const fleet::voter_set& voters)
+{
+    return std::to_string(voters.names.size()) + " voters" +
+           (voters.is_joint()
+                ? ", replacing " + std::to_string(voters.previous.size())
+                : std::string());
+}
+
+} // namespace
+
+table_source entry_host::choose_table_source() const
+{
+    if (m_members_version == 0)
+        return table_source::first_list;
+    if (m_fleet.voters().version == 0)
+        return table_source::none;
+    return m_fleet.is_voter() ? table_source::table_service
+                              : table_source::voters;
+}
+
+void entry_host::read_records(core::boot_instant now, entry_actions& out)
+{
+    m_last_record_read = now;
+    out.control.emplace_back(read_records_action{});
+}
+
+void entry_host::set_voters(const fleet::voter_set& voters)
+{
+    if (voters.version <= m_fleet.voters().version)
+        return;
+    m_fleet.set_voters(voters);
+    report(observe::log_event::voters_in_force, {},
+           description_of(voters) + ", version " +
+               std::to_string(voters.version));
+    plan_connections();
+}
+
+void entry_host::update_voters(const fleet::voter_row& row,
+                               core::boot_instant read_at)
+{
+    m_voters_row_version = row.version;
+    if (row.voters)
+        set_voters(*row.voters);
+    m_fleet.note_records_read(row.voters ? row.version : 0, read_at);
+}
+
+// Position of this host in the order in which hosts create the voter set.
+std::size_t entry_host::rank_for_voters() const
+{
+    const auto weight = [](const std::string& name) {
+        return core::placement_hash("voters", name);
+    };
+    return static_cast<std::size_t>(std::count_if(
+        m_members.begin(), m_members.end(), [&](const auto& entry) {
+            return weight(entry.first) > weight(m_identity.name);
+        }));
+}
+
+// Whether the records must be read because of the voter set.
+bool entry_host::must_read_voters(core::boot_instant now) const
+{
+    const auto version = m_fleet.voters().version;
+    if (!m_knows_records || version == 0)
+        return m_members_version > 0 &&
+               (rank_for_voters() == 0 ||
+                now - m_members_known_at >= first_read_delay);
+    if (!m_fleet.is_voter())
+        return false;
+    const bool is_behind = std::max(version, m_fleet.newest_voters_version()) >
+                           m_fleet.read_voters_version();
+    return is_behind ||
+           now - m_fleet.records_read_at() > record_refresh_interval;
+}
+
+void entry_host::change_voters(core::boot_instant now, entry_actions& out)
+{
+    const auto& voters = m_fleet.voters();
+    const bool may_change = voters.version == 0 || m_fleet.is_voter();
+    if (!m_knows_records || m_is_writing_voters || !m_may_claim ||
+        !is_registered() || !may_change)
+        return;
+    const auto rank = voters.version == 0
+                          ? rank_for_voters()
+                          : rank_for(std::string(voters_key), now);
+    const auto due = m_voter_change.tick(
+        {voters, m_voters_row_version, m_members, m_fleet.heard_members(now),
+         m_fleet.absent_voters(now), m_fleet.previous_voters_informed(now),
+         rank},
+        now);
+    if (!due)
+        return;
+    m_is_writing_voters = true;
+    report(observe::log_event::voters_write, {},
+           description_of(*due) + ", after version " +
+               std::to_string(m_voters_row_version));
+    out.control.emplace_back(write_voters_action{m_voters_row_version, *due});
+}
+
+entry_actions entry_host::on_voters_written(core::boot_instant now)
+{
+    entry_actions out;
+    m_is_writing_voters = false;
+    read_records(now, out);
+    return out;
+}
+
+} // namespace plantainward::entry
--- a/src/plantainward/fleet/heartbeat.hpp
+++ b/src/plantainward/fleet/heartbeat.hpp
@@ -56,6 +56,12 @@
     /// The sender has read the shared records since its start, so it knows
     /// every claim that was made before it read them.
     bool knows_records{false};
+    /// The sender has read them so lately that no change of the voters without
+    /// its knowledge is in force.
+    bool has_read_lately{false};
+    /// Version of the voter set that the sender read together with the records;
+    /// 0: none.
+    std::uint64_t voters_version{0};
     std::uint64_t routing_version{0};
     /// Version of the list of databases.
     std::uint64_t upstreams_version{0};
--- a/src/plantainward/observe/log_event.hpp
+++ b/src/plantainward/observe/log_event.hpp
@@ -34,6 +34,8 @@
     promotion_sent,
     promotion,
     member_removed,
+    voters_in_force,
+    voters_write,
     isolated,
     isolation_over,
     heartbeat_refused,
--- a/src/plantainward/pooling/pooler.cpp
+++ b/src/plantainward/pooling/pooler.cpp
@@ -151,6 +151,15 @@
                                      : found->second.watermarks.newest();
 }
 
+void pooler::doubt(const std::string& service, const std::string& upstream,
+                   core::boot_instant now)
+{
+    auto& upstreams = m_services[service].upstreams;
+    const auto pool = upstreams.find(upstream);
+    if (pool != upstreams.end() && pool->second.share() > 0)
+        pool->second.doubt(now);
+}
+
 bool pooler::is_suspected(const std::string& service,
                           const std::string& upstream,
                           core::boot_instant now) const
--- a/src/plantainward/pooling/pooler.hpp
+++ b/src/plantainward/pooling/pooler.hpp
@@ -127,6 +127,11 @@
     std::optional<freshness::watermark>
     newest_watermark(const std::string& service) const;
 
+    /// Another host gets no answer from a database; this host probes it at the
+    /// next `tick` unless it has just heard from it.
+    void doubt(const std::string& service, const std::string& upstream,
+               core::boot_instant now);
+
     /// Whether a database does not seem to answer this host; false for unknown
     /// databases.
     bool is_suspected(const std::string& service, const std::string& upstream,
--- a/src/plantainward/pooling/upstream_pool.hpp
+++ b/src/plantainward/pooling/upstream_pool.hpp
@@ -70,6 +70,10 @@
     /// database is suspected until it sends something.
     void record_silence() { m_was_silent = true; }
 
+    /// Another host gets no answer from the database: probes it, unless it has
+    /// just sent something to this host.
+    void doubt(core::boot_instant now);
+
     /// Whether the database does not seem to answer this host.
     bool is_suspected(core::boot_instant now) const;
 
@@ -118,6 +122,7 @@
     std::optional<core::boot_instant> m_first_failure;
     std::size_t m_failures{0};
     bool m_was_silent{false};
+    bool m_is_doubted{false};
     core::boot_instant m_no_open_before{};
     upstream::log_point m_known_point;
     upstream::log_point m_missing_point;
--- a/src/plantainward/relay/update_message.cpp
+++ b/src/plantainward/relay/update_message.cpp
@@ -39,14 +39,18 @@
 template <class Archive>
 void serialize(Archive& archive, table_versions& versions)
 {
-    archive(versions.routing, versions.upstreams, versions.members);
+    archive(versions.routing, versions.upstreams, versions.members,
+            versions.voters);
 }
 
 template <class Archive>
 void serialize(Archive& archive, table_update& update)
 {
     archive(update.versions, update.is_current, update.routing,
-            update.upstreams, update.hosts);
+            update.upstreams, update.hosts, update.voters);
+    // The version of a voter set is no part of its serialized value.
+    if (update.voters)
+        update.voters->version = update.versions.voters;
 }
 
 } // namespace plantainward::fleet
--- a/src/plantainward/succession/succession.cpp
+++ b/src/plantainward/succession/succession.cpp
@@ -76,6 +76,8 @@
     const auto& record = m_lease.record();
     if (view.claim.upstreams.empty())
         return std::nullopt;
+    if (!view.can_reach_majority)
+        return std::nullopt;
     if (record.version == 0)
         return claim_trigger::unset;
     if (record.phase == leadership_phase::claimed)
--- a/src/plantainward/succession/succession.hpp
+++ b/src/plantainward/succession/succession.hpp
@@ -29,6 +29,9 @@
     std::size_t rank{0};
     /// The host that wrote the record is live and can write records.
     bool is_writer_active{true};
+    /// Enough voters are live to acknowledge a claim. Without them a claim only
+    /// stops the hosts that still use the primary under proofs of the others.
+    bool can_reach_majority{true};
 };
 
 /// A finished claim, for logs.
--- a/tests/entry/promotion_explorer_tests.cpp
+++ b/tests/entry/promotion_explorer_tests.cpp
@@ -207,6 +207,9 @@
 std::string run_seed(std::uint64_t seed, const plan& plan)
 {
     fleet_world world(plan.hosts, seed);
+    // Prints the decisions of all hosts, to trace a seed.
+    if (std::getenv("EXPLORER_TRACE") != nullptr)
+        world.trace_to(std::cerr);
     world.run_for(millis(2000));
     world.set_feed_delay({millis(1), millis(500)});
     world.start_load(millis(10));
--- a/tests/support/fleet_world.hpp
+++ b/tests/support/fleet_world.hpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <ostream>
 #include <random>
 #include <set>
 #include <string>
@@ -65,6 +66,8 @@
     std::size_t unknown{0};
     std::size_t reads_at_replicas{0};
     std::size_t promotions{0};
+    /// Number of writes of the voter set.
+    std::size_t voter_changes{0};
     /// Number of removals of registrations that hosts requested.
     std::size_t removed_members{0};
     /// Number of statements that one host forwarded to another.
@@ -97,6 +100,8 @@
     fleet_world& operator=(const fleet_world&) = delete;
 
     boot_instant now() const { return m_now; }
+    /// Prints the events of all hosts that start from now on.
+    void trace_to(std::ostream& out) { m_trace = &out; }
     void run_for(millis time);
 
     /// Issues a write or a read through a random host at this interval.
@@ -107,6 +112,16 @@
     void cut_store(const std::string& host, bool is_cut = true);
     void freeze(const std::string& host, millis time);
     void restart(const std::string& host);
+    /// Ends a host's process, which unregisters the host; `restart` starts it
+    /// again.
+    void stop(const std::string& host);
+    /// Starts a further host and returns its name.
+    std::string add_host();
+    /// Whether a host's process runs.
+    bool is_running(const std::string& host) const
+    {
+        return m_hosts.at(host).host.has_value();
+    }
     void crash_database(const std::string& id);
     void recover_database(const std::string& id);
     void set_store_up(bool up);
@@ -178,6 +193,7 @@
     {
         std::optional<entry::entry_host> host;
         std::uint64_t incarnation{0};
+        bool is_registered{false};
         boot_instant frozen_until{};
         std::vector<std::function<void()>> deferred_steps;
     };
@@ -220,8 +236,12 @@
     std::string domain_of(const std::string& name) const;
     fleet::members members() const;
     void start_host(const std::string& name);
+    void trace(const std::string& name, const entry::host_event& event) const;
     void tick_host(const std::string& name, std::uint64_t incarnation);
     void announce_members();
+    void announce_members(const std::string& name);
+    void remove_member(const std::string& name, const std::string& member);
+    void forget_work_of(const std::string& host);
     void run(const std::string& name, const entry::entry_actions& actions);
     void run(const std::string& name, const pooling::actions& actions);
     void run(const std::string& name, const entry::control_action& action);
@@ -243,6 +263,8 @@
     void replicate(const std::string& from);
     void write_record(const std::string& name,
                       const entry::write_record_action& action);
+    void write_voters(const std::string& name,
+                      const entry::write_voters_action& action);
     void promote(const std::string& name,
                  const entry::promote_upstream_action& action);
     void abort_promotions(const std::string& name);
@@ -262,6 +284,7 @@
     routes::routing routing() const;
     std::vector<routes::upstream> upstreams() const;
 
+    std::ostream* m_trace{nullptr};
     boot_instant m_now{std::chrono::seconds(1000)};
     std::size_t m_max_connections;
     std::size_t m_domains;
@@ -277,7 +300,9 @@
     std::set<std::pair<std::string, std::string>> m_cuts;
     bool m_store_up{true};
     std::uint64_t m_store_version{10};
+    std::uint64_t m_members_version{0};
     std::map<std::string, succession::leadership> m_records;
+    fleet::voter_row m_voters;
     std::string m_leader;
     bool m_lose_promotions{false};
     bool m_lose_calls{false};
