--- a/src/plantainward/entry/entry_host_voters.cpp
+++ b/src/plantainward/entry/entry_host_voters.cpp
@@ -17,8 +17,8 @@
 // of each host is enough.
 constexpr core::millis first_read_delay{300};
 
-// Age of the records from which a voter reads them again, so that it may go on
-// confirming; less than half of the limit.
+// Age of the records from which a voter reads them again, so that it may
+// continue to confirm them; less than half of the limit.
 constexpr core::millis record_refresh_interval{120'000};
 
 std::string description_of(const fleet::voter_set& voters)
--- a/src/plantainward/fleet/fleet_view.hpp
+++ b/src/plantainward/fleet/fleet_view.hpp
@@ -201,8 +201,9 @@
     std::set<std::string> heard_members(core::boot_instant now) const;
 
     /// Names of the voters that have sent no heartbeat for so long that their
-    /// registrations may be removed. Empty for a host that does not hear from a
-    /// majority, since it may itself be the one that is cut off.
+    /// registrations may be removed. Empty for a host that receives no
+    /// heartbeats from a majority, since it may itself be the one that is cut
+    /// off.
     std::vector<std::string> lost_voters(core::boot_instant now) const;
 
     /// Number of registered members, this host included.
--- a/tests/fleet/voter_set_tests.cpp
+++ b/tests/fleet/voter_set_tests.cpp
@@ -165,8 +165,8 @@
 
 TEST(voter_set, a_quorum_without_the_table_service_ends_unless_all_confirm)
 {
-    // Guards against voters that go on without the table service when it has a
-    // set that replaced them, because the others took them for lost.
+    // Guards against voters that confirm records without the table service when
+    // it has a set that replaced them, because the others took them for lost.
     read_voters({5, names({0, 1, 2, 3}), {}});
     const auto later = now + voter_change::max_read_age + millis(1000);
     view.start_round(later);
@@ -215,7 +215,7 @@
     /// Removes a voter's registration for longer than a restart takes.
     std::string lose_voter()
     {
-        const auto lost = *voters.names.begin();
+        auto lost = *voters.names.begin();
         registered.erase(lost);
         absent.insert(lost);
         return lost;
