--- a/tests/support/fleet_world.cpp
+++ b/tests/support/fleet_world.cpp
@@ -205,7 +205,7 @@
 
 std::string fleet_world::add_host()
 {
-    const auto name = host_name(m_hosts.size());
+    auto name = host_name(m_hosts.size());
     m_hosts[name];
     start_host(name);
     announce_members();
