Log leaving primaries that stay in use, and tables that are behind

Change: events leaving_primary and tables_behind; upstream_known names the version of the list. No decision changes.

--- a/src/plantainward/entry/entry_host.cpp
+++ b/src/plantainward/entry/entry_host.cpp
@@ -7,6 +7,14 @@
 namespace plantainward::entry
 {
 
+namespace
+{
+
+// A claim for a leaving primary usually ends sooner.
+constexpr core::millis leaving_report_delay{2000};
+
+} // namespace
+
 entry_host::entry_host(entry_identity identity)
     : m_identity(std::move(identity)),
       m_pooler(pooling::pooler_options{m_identity.failure_domain}),
@@ -99,15 +107,45 @@
     for (const auto& upstream : usable)
         if (std::find(m_upstreams.begin(), m_upstreams.end(), upstream) ==
             m_upstreams.end())
-            report(observe::log_event::upstream_known, upstream.service,
-                   upstream.id + " at " + core::to_string(upstream.address) +
-                       (upstream.leaving ? ", leaving" : "") +
-                       (upstream.claims_primary ? ", primary" : ""));
+            report({observe::log_event::upstream_known,
+                    upstream.service,
+                    upstream.id + " at " + core::to_string(upstream.address) +
+                        (upstream.leaving ? ", leaving" : "") +
+                        (upstream.claims_primary ? ", primary" : ""),
+                    {{"list_version", std::to_string(m_upstreams_version)}}});
     m_upstreams = std::move(usable);
     auto actions = m_pooler.set_upstreams(m_upstreams, now);
     std::move(actions.begin(), actions.end(), std::back_inserter(out.pooling));
 }
 
+// A leaving primary stays in use until a claim replaces it.
+void entry_host::report_leaving_primaries(core::boot_instant now)
+{
+    for (const auto& [service, service_succession] : m_successions)
+    {
+        const auto& record = service_succession.lease().record();
+        const auto since = m_pooler.leaving_since(service, record.primary);
+        if (!since)
+        {
+            m_reported_leaving.erase(service);
+            continue;
+        }
+        if (now - *since < leaving_report_delay ||
+            std::exchange(m_reported_leaving[service], record.primary) ==
+                record.primary)
+            continue;
+        report({observe::log_event::leaving_primary,
+                service,
+                record.primary,
+                {{"known_ms", std::to_string(core::to_ms(now - *since))},
+                 {"phase", std::string(succession::phase_names[record.phase])},
+                 {"writer", record.writer},
+                 {"majority", m_fleet.can_reach_majority(now) ? "yes" : "no"},
+                 {"claiming",
+                  service_succession.running_claim() ? "yes" : "no"}}});
+    }
+}
+
 bool entry_host::update_record(const std::string& service,
                                const succession::leadership& record,
                                core::boot_instant now, entry_actions& out)
@@ -465,6 +503,7 @@
         send_heartbeats(now, out);
     remove_lost_members(now, out);
     update_isolation(now);
+    report_leaving_primaries(now);
     return out;
 }
 
--- a/src/plantainward/entry/entry_host.hpp
+++ b/src/plantainward/entry/entry_host.hpp
@@ -285,6 +285,7 @@
     void report_claim_end(succession::succession& service_succession,
                           core::boot_instant now);
     void run_claims(core::boot_instant now, entry_actions& out);
+    void report_leaving_primaries(core::boot_instant now);
     void update_upstreams(core::boot_instant now, entry_actions& out);
     void renew_leases(core::boot_instant now, entry_actions& out);
     bool is_registered() const { return m_members.contains(m_identity.name); }
@@ -343,6 +344,8 @@
     std::uint64_t m_peer_upstreams_version{0};
     /// Newest version of a peer when the list of databases was last requested.
     std::uint64_t m_requested_upstreams_version{0};
+    /// Leaving primaries that were reported, by service.
+    std::map<std::string, std::string> m_reported_leaving;
     std::map<fleet::service_key, std::string> m_service_keys;
     std::map<std::string, succession::succession> m_successions;
     /// The promotion call in flight of each service.
--- a/src/plantainward/entry/entry_host_fleet.cpp
+++ b/src/plantainward/entry/entry_host_fleet.cpp
@@ -86,6 +86,15 @@
         now - m_last_table_read < table_read_interval)
         return;
     m_last_table_read = now;
+    report(
+        {observe::log_event::tables_behind,
+         {},
+         heartbeat.host,
+         {{"routing", std::to_string(m_pooler.routing().version)},
+          {"peer_routing", std::to_string(m_peer_routing_version)},
+          {"list_version", std::to_string(m_upstreams_version)},
+          {"peer_list_version", std::to_string(m_peer_upstreams_version)},
+          {"behind_ms", std::to_string(core::to_ms(now - *m_behind_since))}}});
     if (routing_behind)
         out.control.emplace_back(read_routing_action{});
     if (!upstreams_behind)
--- a/src/plantainward/observe/log_event.cpp
+++ b/src/plantainward/observe/log_event.cpp
@@ -17,7 +17,7 @@
 constexpr int failure_per_s = 100;
 constexpr int request_per_s = 40;
 
-constexpr std::array<log_event_row, 36> table{{
+constexpr std::array<log_event_row, 38> table{{
     {started, "started", rare_per_s, "the process listens"},
     {stopped, "stopped", rare_per_s,
      "the process ends after a graceful shutdown"},
@@ -37,9 +37,15 @@
     {routing_rejected, "routing_rejected", rare_per_s,
      "a routing could not be decoded; the previous one stays in force"},
     {upstream_known, "upstream_known", state_change_per_s,
-     "a database is registered or its registration has changed"},
+     "a database is registered or its registration has changed; with the "
+     "version of the list"},
     {upstream_unregistered, "upstream_unregistered", state_change_per_s,
      "a database's registration has ended"},
+    {leaving_primary, "leaving_primary", rare_per_s,
+     "a primary that is leaving has not been replaced for some time; with what "
+     "a claim depends on"},
+    {tables_behind, "tables_behind", rare_per_s,
+     "another host has had newer tables for some time; this host reads them"},
     {registration_rejected, "registration_rejected", rare_per_s,
      "a registration is damaged and names no database"},
     {row_rejected, "row_rejected", rare_per_s,
--- a/src/plantainward/observe/log_event.hpp
+++ b/src/plantainward/observe/log_event.hpp
@@ -25,6 +25,8 @@
     routing_rejected,
     upstream_known,
     upstream_unregistered,
+    leaving_primary,
+    tables_behind,
     registration_rejected,
     row_rejected,
     primary_record,
--- a/src/plantainward/pooling/pooler.cpp
+++ b/src/plantainward/pooling/pooler.cpp
@@ -114,7 +114,7 @@
         auto& service = m_services[upstream.service];
         auto& pool =
             service.upstreams.try_emplace(upstream.id, upstream).first->second;
-        pool.set_registration(upstream);
+        pool.set_registration(upstream, now);
         pool.set_share(service.plan.share);
     }
     serve_queue();
@@ -160,6 +160,18 @@
         pool->second.doubt(now);
 }
 
+std::optional<core::boot_instant>
+pooler::leaving_since(const std::string& service,
+                      const std::string& upstream) const
+{
+    const auto view = m_services.find(service);
+    if (view == m_services.end())
+        return std::nullopt;
+    const auto pool = view->second.upstreams.find(upstream);
+    return pool == view->second.upstreams.end() ? std::nullopt
+                                                : pool->second.leaving_since();
+}
+
 bool pooler::is_suspected(const std::string& service,
                           const std::string& upstream,
                           core::boot_instant now) const
--- a/src/plantainward/pooling/pooler.hpp
+++ b/src/plantainward/pooling/pooler.hpp
@@ -137,6 +137,12 @@
     bool is_suspected(const std::string& service, const std::string& upstream,
                       core::boot_instant now) const;
 
+    /// Since when this host knows that a database is leaving; empty when it is
+    /// not, and for unknown databases.
+    std::optional<core::boot_instant>
+    leaving_since(const std::string& service,
+                  const std::string& upstream) const;
+
     /// Opens a session; returns false when no route has this database name.
     bool open_session(session_id id, const std::string& database,
                       core::boot_instant now);
--- a/src/plantainward/pooling/upstream_pool.cpp
+++ b/src/plantainward/pooling/upstream_pool.cpp
@@ -68,6 +68,16 @@
 
 } // namespace
 
+void upstream_pool::set_registration(const routes::upstream& registration,
+                                     core::boot_instant now)
+{
+    m_registration = registration;
+    if (!registration.leaving)
+        m_leaving_since.reset();
+    else if (!m_leaving_since)
+        m_leaving_since = now;
+}
+
 connection* upstream_pool::find(connection_id id)
 {
     const auto found = m_connections.find(id);
--- a/src/plantainward/pooling/upstream_pool.hpp
+++ b/src/plantainward/pooling/upstream_pool.hpp
@@ -23,9 +23,14 @@
     }
 
     const routes::upstream& registration() const { return m_registration; }
-    void set_registration(const routes::upstream& registration)
+    void set_registration(const routes::upstream& registration,
+                          core::boot_instant now);
+
+    /// Since when this host knows that the database is leaving; empty when it
+    /// is not.
+    std::optional<core::boot_instant> leaving_since() const
     {
-        m_registration = registration;
+        return m_leaving_since;
     }
 
     /// Sets the largest number of connections that this host may hold.
@@ -116,6 +121,7 @@
     std::optional<core::boot_instant> oldest_unanswered() const;
 
     routes::upstream m_registration;
+    std::optional<core::boot_instant> m_leaving_since;
     std::size_t m_share{1};
     std::map<connection_id, connection> m_connections;
     core::boot_instant m_last_contact{};
