A leaving primary gets no new work once its grace is over

What callers saw: requests reached a primary up to 9 s after it had announced that it leaves (DRAIN, bound 7 s). Cause: a leaving primary was used until a claim replaced it, and no time limit ended that. A claim needs a majority of the voters; with 9 of 15 hosts without power the others renewed their leases by reads of the store and used the primary until it exited. Class: a state with a deadline whose only way out is the success of another process. Evidence: leaving_primary lines with majority=no, claiming=no on all six hosts. Ruled out here: late news; the hosts knew of it 5 ms after the store. Waiting and new statements that need it are refused at once as not run. Answers to probes of the primary add watermarks, so reads with a stated age go on at replicas. The simulated fleet now checks every request for lateness (drain_checker).

--- a/src/plantainward/entry/entry_host.cpp
+++ b/src/plantainward/entry/entry_host.cpp
@@ -15,9 +15,9 @@
 
 } // namespace
 
-entry_host::entry_host(entry_identity identity)
+entry_host::entry_host(entry_identity identity, core::millis leaving_grace)
     : m_identity(std::move(identity)),
-      m_pooler(pooling::pooler_options{m_identity.failure_domain}),
+      m_pooler({m_identity.failure_domain, leaving_grace}),
       m_fleet(m_identity.name, m_identity.incarnation, m_fleet_options)
 {
 }
@@ -118,7 +118,7 @@
     std::move(actions.begin(), actions.end(), std::back_inserter(out.pooling));
 }
 
-// A leaving primary stays in use until a claim replaces it.
+// A leaving primary stays in use until a claim replaces it or its grace ends.
 void entry_host::report_leaving_primaries(core::boot_instant now)
 {
     for (const auto& [service, service_succession] : m_successions)
--- a/src/plantainward/entry/entry_host.hpp
+++ b/src/plantainward/entry/entry_host.hpp
@@ -168,7 +168,10 @@
 class entry_host
 {
 public:
-    explicit entry_host(entry_identity identity);
+    /// A leaving primary gets new work for `leaving_grace` at most.
+    explicit entry_host(
+        entry_identity identity,
+        core::millis leaving_grace = pooling::pooler_options{}.leaving_grace);
 
     pooling::pooler& pooler() { return m_pooler; }
     const pooling::pooler& pooler() const { return m_pooler; }
--- a/src/plantainward/pooling/placement.cpp
+++ b/src/plantainward/pooling/placement.cpp
@@ -55,7 +55,8 @@
                core::boot_instant now)
 {
     return !work.excluded.contains(pool.registration().id) &&
-           !pool.is_suspected(now) && pool.has_capacity(now);
+           !pool.is_withdrawn(now) && !pool.is_suspected(now) &&
+           pool.has_capacity(now);
 }
 
 double domain_cost_ms(const upstream_pool& pool, const std::string& own_domain)
--- a/src/plantainward/pooling/pooler.cpp
+++ b/src/plantainward/pooling/pooler.cpp
@@ -113,7 +113,9 @@
     {
         auto& service = m_services[upstream.service];
         auto& pool =
-            service.upstreams.try_emplace(upstream.id, upstream).first->second;
+            service.upstreams
+                .try_emplace(upstream.id, upstream, m_options.leaving_grace)
+                .first->second;
         pool.set_registration(upstream, now);
         pool.set_share(service.plan.share);
     }
@@ -357,6 +359,8 @@
     if (m_isolated && !has_delegates)
         return refuse_on_this_host(
             session, "this host can't prove which database is the primary");
+    if (is_primary_withdrawn(*session.current))
+        return refuse_for_withdrawn_primary(session);
     if (session.origin && is_primary_unreachable(*session.current))
         return refuse_on_this_host(session,
                                    "this host does not reach the primary");
@@ -447,6 +451,7 @@
     drop_silent_connections();
     drop_lost_answers();
     return_remote_work();
+    refuse_waiting_for_withdrawn_primaries();
     drop_surplus_connections();
     serve_queue();
     probe_silent_upstreams();
--- a/src/plantainward/pooling/pooler.hpp
+++ b/src/plantainward/pooling/pooler.hpp
@@ -73,6 +73,9 @@
 {
     /// Failure domain of this host; databases in it are preferred for reads.
     std::string failure_domain;
+    /// Time for which a leaving primary still gets new work, from the instant
+    /// at which this host learns that it is leaving.
+    core::millis leaving_grace{3000};
 };
 
 /// Runs the statements of callers' sessions on pooled database connections.
@@ -223,6 +226,9 @@
     bool try_forward(session& session, const std::vector<std::string>& hosts);
     bool is_primary_unreachable(const work& work);
     void return_remote_work();
+    bool is_primary_withdrawn(const work& work);
+    void refuse_for_withdrawn_primary(session& session);
+    void refuse_waiting_for_withdrawn_primaries();
     void forward(session& session, const forwarding& target);
     void finish_forwarded(session& session, forwarded_reply answer);
     void end_forwarding(session& session);
@@ -259,6 +265,8 @@
     void handle_statement_error(connection& connection, session& session,
                                 sql::command_answer answer);
     void resend_due_statements();
+    void add_watermark(const connection& connection,
+                       const sql::command_answer& answer);
     void record_answer(connection& connection,
                        const sql::command_answer& answer);
     void drop_silent_connections();
--- a/src/plantainward/pooling/pooler_connections.cpp
+++ b/src/plantainward/pooling/pooler_connections.cpp
@@ -84,9 +84,12 @@
     auto& work = *session.current;
     auto& service = *service_of(connection.id);
     const bool is_first_statement = !session.transaction || work.begins;
-    // The lease may have expired while the connection was being prepared.
-    if (is_first_statement && work.at_primary &&
-        !service.is_primary(connection.upstream, m_now))
+    // The lease or the grace of a leaving database may have expired while the
+    // connection was being prepared.
+    const bool may_start =
+        !pool_of(connection.id)->is_withdrawn(m_now) &&
+        (!work.at_primary || service.is_primary(connection.upstream, m_now));
+    if (is_first_statement && !may_start)
     {
         release(connection, work.begins);
         if (session.transaction)
@@ -265,6 +268,17 @@
         pool.update_known_point(*answer.position);
 }
 
+// An idle primary's answer to a probe shows the end of its log, so that reads
+// with a stated age can run at replicas without statements at the primary.
+void pooler::add_watermark(const connection& connection,
+                           const sql::command_answer& answer)
+{
+    auto& service = *service_of(connection.id);
+    if (answer.position && !answer.error &&
+        service.stayed_primary(connection.upstream, connection.sent_at, m_now))
+        service.watermarks.add({connection.sent_at, *answer.position});
+}
+
 actions pooler::on_answer(connection_id id, sql::command_answer answer,
                           core::boot_instant now)
 {
@@ -288,6 +302,8 @@
         handle_statement_answer(*connection, std::move(answer));
         break;
     case connection_stage::probing:
+        add_watermark(*connection, answer);
+        [[fallthrough]];
     case connection_stage::rolling_back:
         if (answer.state != sql::transaction_state::idle)
             drop(id);
--- a/src/plantainward/pooling/pooler_queue.cpp
+++ b/src/plantainward/pooling/pooler_queue.cpp
@@ -46,6 +46,8 @@
     if (found == service.upstreams.end())
         return "the primary is not registered";
     const auto& pool = found->second;
+    if (pool.is_withdrawn(m_now))
+        return "the primary is leaving";
     if (pool.is_suspected(m_now))
         return "the primary does not answer";
     return "the primary has no capacity: " + std::to_string(pool.busy_count()) +
@@ -113,6 +115,36 @@
     return true;
 }
 
+// Whether the statement needs a primary that is leaving and gets no new work.
+// Nobody replaces it yet, or there would be no lease on it.
+bool pooler::is_primary_withdrawn(const work& work)
+{
+    const auto& service = m_services[work.route.service];
+    if (!work.needs_primary || !service.has_primary(m_now))
+        return false;
+    const auto found = service.upstreams.find(service.primary);
+    return found != service.upstreams.end() &&
+           found->second.is_withdrawn(m_now);
+}
+
+void pooler::refuse_for_withdrawn_primary(session& session)
+{
+    refuse(session, core::error_kind::overloaded,
+           "the primary is leaving and has not been replaced");
+}
+
+void pooler::refuse_waiting_for_withdrawn_primaries()
+{
+    const auto waiting = m_queue;
+    for (const auto id : waiting)
+    {
+        auto& session = m_sessions.at(id);
+        if (session.current && is_waiting_for_upstream(*session.current) &&
+            is_primary_withdrawn(*session.current))
+            refuse_for_withdrawn_primary(session);
+    }
+}
+
 void pooler::end_expired_work()
 {
     std::vector<session_id> expired;
--- a/src/plantainward/pooling/upstream_pool.hpp
+++ b/src/plantainward/pooling/upstream_pool.hpp
@@ -17,8 +17,10 @@
 class upstream_pool
 {
 public:
-    explicit upstream_pool(routes::upstream registration)
-        : m_registration(std::move(registration))
+    /// A database that is leaving gets new work for `leaving_grace`.
+    upstream_pool(routes::upstream registration, core::millis leaving_grace)
+        : m_registration(std::move(registration)),
+          m_leaving_grace(leaving_grace)
     {
     }
 
@@ -33,6 +35,13 @@
         return m_leaving_since;
     }
 
+    /// Whether the database has been leaving for so long that it gets no new
+    /// work any more.
+    bool is_withdrawn(core::boot_instant now) const
+    {
+        return m_leaving_since && now - *m_leaving_since >= m_leaving_grace;
+    }
+
     /// Sets the largest number of connections that this host may hold.
     void set_share(std::size_t share) { m_share = share; }
     std::size_t share() const { return m_share; }
@@ -121,6 +130,7 @@
     std::optional<core::boot_instant> oldest_unanswered() const;
 
     routes::upstream m_registration;
+    core::millis m_leaving_grace;
     std::optional<core::boot_instant> m_leaving_since;
     std::size_t m_share{1};
     std::map<connection_id, connection> m_connections;
--- a/tests/entry/failover_tests.cpp
+++ b/tests/entry/failover_tests.cpp
@@ -212,3 +212,22 @@
     CHECK(is_done(world.call("host-0", "latest", "WRITE k1 1")));
     LONGS_EQUAL(1, world.history().promotions);
 }
+
+TEST(fleet_failover,
+     a_leaving_primary_gets_no_new_work_while_no_claim_can_begin)
+{
+    // Guards against a primary that was used until it exited, since most voters
+    // were down and no claim could replace it.
+    settled_world world;
+    world.start_load(millis(10));
+    for (const auto* host : {"host-2", "host-3", "host-4"})
+        world.freeze(host, millis(30'000));
+    world.run_for(millis(5000));
+    world.set_leaving("db-a");
+    world.run_for(millis(10'000));
+    LONGS_EQUAL(0, world.history().promotions);
+    LONGS_EQUAL(0, world.history().faults.size());
+    const auto served = world.history().reads_at_replicas;
+    world.run_for(millis(2000));
+    CHECK(world.history().reads_at_replicas > served);
+}
--- a/tests/platform_adapter/document_tests.cpp
+++ b/tests/platform_adapter/document_tests.cpp
@@ -47,6 +47,7 @@
     LONGS_EQUAL(8784, decoded->caller_address.port);
     LONGS_EQUAL(7440, decoded->peer_address.port);
     LONGS_EQUAL(6000, decoded->grace_ms);
+    LONGS_EQUAL(7000, decoded->drain_ms);
 }
 
 TEST(documents, a_settings_file_without_a_required_field_is_rejected)
--- a/tests/pooling/pooler_tests.cpp
+++ b/tests/pooling/pooler_tests.cpp
@@ -354,3 +354,64 @@
     LONGS_EQUAL(1, c.replies.size());
     CHECK_FALSE(c.replies.front().reply.error.has_value());
 }
+
+TEST(pooler, a_primary_that_leaves_for_long_gets_no_new_work)
+{
+    // Guards against a leaving primary that was used until it exited, since
+    // nothing but its replacement ended its use.
+    c.open_session(1, "cards");
+    auto leaving = c.upstream("p");
+    leaving.leaving = true;
+    const std::vector<routes::upstream> registered{leaving, c.upstream("r")};
+    c.apply(c.pool.set_upstreams(registered, c.now));
+    c.submit(1, statement_kind::write, "WRITE k1 v1");
+    c.succeed(c.complete_open());
+    CHECK_FALSE(c.replies.back().reply.error.has_value());
+    c.now += millis(3000);
+    // A repeated announcement does not extend the time.
+    c.apply(c.pool.set_upstreams(registered, c.now));
+    const auto sent = c.sent.size();
+    c.submit(1, statement_kind::write, "WRITE k2 v2");
+    LONGS_EQUAL(sent, c.sent.size());
+    CHECK(c.replies.back().reply.error == error_kind::overloaded);
+}
+
+TEST(pooler, a_statement_that_waits_for_a_leaving_primary_is_refused_in_time)
+{
+    c.open_session(1, "cards");
+    c.open_session(2, "cards");
+    auto leaving = c.upstream("p");
+    leaving.leaving = true;
+    c.apply(c.pool.set_upstreams({leaving, c.upstream("r")}, c.now));
+    c.pool.set_plan("ledger", {1, {}, {}});
+    c.now += millis(2900);
+    c.submit(1, statement_kind::write, "WRITE k1 v1");
+    c.complete_open();
+    c.submit(2, statement_kind::write, "WRITE k2 v2");
+    CHECK(c.replies.empty());
+    c.now += millis(100);
+    c.apply(c.pool.tick(c.now));
+    LONGS_EQUAL(1, c.replies.size());
+    CHECK(c.replies.back().reply.error == error_kind::overloaded);
+}
+
+TEST(pooler, answers_to_probes_of_an_idle_primary_let_reads_run_at_replicas)
+{
+    // Guards against reads with a stated age that were refused beside a leaving
+    // primary, since only its statements showed how old the replicas were.
+    c.open_session(1, "cards");
+    c.open_session(2, "specs");
+    c.submit(1, statement_kind::write, "WRITE k1 v1");
+    const auto id = c.complete_open();
+    c.succeed(id);
+    c.now += millis(1700);
+    c.apply(c.pool.tick(c.now));
+    c.succeed(id);
+    auto leaving = c.upstream("p");
+    leaving.leaving = true;
+    c.apply(c.pool.set_upstreams({leaving, c.upstream("r")}, c.now));
+    const auto sent = c.sent.size();
+    c.submit(2, statement_kind::read, "READ a");
+    LONGS_EQUAL(sent, c.sent.size());
+    STRCMP_EQUAL("r", c.opened.back().upstream.id.c_str());
+}
--- a/tests/support/fleet_world.hpp
+++ b/tests/support/fleet_world.hpp
@@ -2,6 +2,7 @@
 
 #include <plantainward/entry/entry_host.hpp>
 
+#include <support/drain_checker.hpp>
 #include <support/promotion_checker.hpp>
 
 #include <cstdint>
@@ -255,6 +256,8 @@
     void send(const std::string& name, const pooling::send_action& action);
     void answer_command(const std::string& name, pooling::connection_id id,
                         const sql::command& command);
+    void check_drain(const std::string& host, const sim_connection& connection,
+                     const sql::command& command);
     sql::command_answer execute(sim_connection& connection,
                                 sim_database& database,
                                 const sql::command& command);
@@ -317,6 +320,7 @@
     std::uint64_t m_last_promotion{0};
     std::map<std::uint64_t, promotion_in_flight> m_promotions;
     promotion_checker m_checker;
+    drain_checker m_drain_checker;
     bool m_lose_member_reads{false};
     bool m_load{false};
     pooling::session_id m_last_session{0};
--- a/tests/support/fleet_world_databases.cpp
+++ b/tests/support/fleet_world_databases.cpp
@@ -58,6 +58,7 @@
     auto& database = m_databases.at(found->second.database);
     if (!database.up)
         return;
+    check_drain(name, found->second, command);
     auto answer = execute(found->second, database, command);
     on_host(name, link_delay, [this, name, id, answer] {
         const auto open = m_connections.find({name, id});
@@ -67,6 +68,19 @@
     });
 }
 
+void fleet_world::check_drain(const std::string& host,
+                              const sim_connection& connection,
+                              const sql::command& command)
+{
+    const auto text = text_of(command);
+    if (connection.in_transaction ||
+        (!text.starts_with("WRITE ") && !text.starts_with("READ ")))
+        return;
+    if (auto fault = m_drain_checker.on_request(host, connection.database,
+                                                m_checker, m_now))
+        m_history.faults.push_back(std::move(*fault));
+}
+
 sql::command_answer fleet_world::execute(sim_connection& connection,
                                          sim_database& database,
                                          const sql::command& command)
--- a/tests/support/fleet_world_platform.cpp
+++ b/tests/support/fleet_world_platform.cpp
@@ -111,6 +111,7 @@
 void fleet_world::set_leaving(const std::string& id)
 {
     m_databases.at(id).registration.leaving = true;
+    m_drain_checker.on_leaving(id, m_now);
     announce_upstreams();
 }
 
@@ -119,6 +120,7 @@
     crash_database(id);
     auto& database = m_databases.at(id);
     database.registration.leaving = false;
+    m_drain_checker.on_replaced(id);
     ++database.registration.started_at_ms;
     recover_database(id);
     announce_upstreams();
--- a/tests/support/promotion_checker.hpp
+++ b/tests/support/promotion_checker.hpp
@@ -71,8 +71,10 @@
     /// All calls, one line each.
     std::string trace() const;
 
-private:
+    /// Whether a host or the store had no disturbance since an instant.
     bool was_undisturbed(const std::string& name, instant since) const;
+
+private:
     bool take_turns(const observed_promotion& first,
                     const observed_promotion& second) const;
 
