Probe connections to the store, so that silent feeds end after 3 s

Cause: all open connections had gone silent without a reset. A feed waits up to 12 s for a change and its call 13.2 s; until then a silent feed looks like a quiet one. Peers compare versions by heartbeats, but all feeds were silent, so no host had anything newer to show. Class: liveness that is concluded from the absence of news. Ruled out: a lost change; the first feed that ended brought it. Change: the HTTP client enables TCP keep-alive (1 s idle, 1 s between probes, 2 probes). No call to the store is added. Other long-lived connections have probes of their own: links between hosts (1 s) and databases (1 s). Test, red before: client.a_connection_whose_response_takes_long_is_probed.

--- a/src/plantainward/http/client.cpp
+++ b/src/plantainward/http/client.cpp
@@ -1,6 +1,7 @@
 #include <plantainward/http/client.hpp>
 
 #include <plantainward/core/boot_clock.hpp>
+#include <plantainward/http/internal/keep_alive.hpp>
 
 #include <deque>
 #include <map>
@@ -157,6 +158,8 @@
                     error_code ignored;
                     m_stream.socket().set_option(asio::ip::tcp::no_delay(true),
                                                  ignored);
+                    internal::enable_keep_alive(
+                        m_stream.socket().native_handle());
                 }
                 m_open = !error;
                 handler(m_open);
--- a/tests/http/client_tests.cpp
+++ b/tests/http/client_tests.cpp
@@ -1,7 +1,9 @@
 #include <plantainward/http/client.hpp>
 
 #include <condition_variable>
+#include <fstream>
 #include <mutex>
+#include <sstream>
 #include <thread>
 
 #include <poll.h>
@@ -114,6 +116,11 @@
     {
         std::string request;
         LONGS_EQUAL(read_outcome::data, read(to, request, hang_timeout));
+        answer_without_reading(to);
+    }
+
+    static void answer_without_reading(tcp::socket& to)
+    {
         error_code error;
         asio::write(to,
                     asio::buffer(std::string(
@@ -174,6 +181,31 @@
     millis m_elapsed{0};
 };
 
+// Whether a timer of the kernel's keep-alive probes runs for the client's end
+// of a connection to the port.
+bool has_keep_alive_timer(std::uint16_t server_port)
+{
+    std::ifstream connections("/proc/net/tcp");
+    std::string line;
+    while (std::getline(connections, line))
+    {
+        std::istringstream fields(line);
+        std::string number;
+        std::string local;
+        std::string remote;
+        std::string state;
+        std::string queues;
+        std::string timer;
+        fields >> number >> local >> remote >> state >> queues >> timer;
+        const auto colon = remote.find(':');
+        if (colon == std::string::npos || state != "01" ||
+            std::stoul(remote.substr(colon + 1), nullptr, 16) != server_port)
+            continue;
+        return timer.starts_with("02:");
+    }
+    return false;
+}
+
 http::request make_request(std::string body = {})
 {
     return {"POST", "/question", {}, std::move(body)};
@@ -474,3 +506,22 @@
     const http::call_handle none;
     none.abort();
 }
+
+TEST(client, a_connection_whose_response_takes_long_is_probed)
+{
+    // Guards against feeds of the table service that waited 13 s on connections
+    // which had gone silent without a reset, so that no host learned of a
+    // leaving database or a changed route.
+    manual_server server;
+    outcome_recorder recorder;
+    client->send(server.address(), make_request(), hang_timeout,
+                 recorder.handler());
+    auto accepted = server.accept();
+    CHECK(accepted.has_value());
+    std::string request;
+    LONGS_EQUAL(read_outcome::data, read(*accepted, request, hang_timeout));
+    std::this_thread::sleep_for(millis(300));
+    CHECK(has_keep_alive_timer(server.address().port));
+    manual_server::answer_without_reading(*accepted);
+    LONGS_EQUAL(exchange_outcome::answered, recorder.wait());
+}
