A list of databases of another host does not count as the requested one

What callers may have seen: a host keeps sending to a leaving database (DRAIN) after its peers know of it. Cause: on_upstreams raised the version of this host's list to the newest that a peer had shown when a list was last requested, whichever list arrived next: one passed on by a voter that is behind, or one whose read began before the request. The host then ignored the real list as not newer. Class: a version that says more than its content. Change: only a list that was read from the table service since the request counts. Test, red before (expected 70, was 90): table_update.a_list_of_another_host_does_not_count_as_the_requested_one.

--- a/src/plantainward/entry/entry_host.cpp
+++ b/src/plantainward/entry/entry_host.cpp
@@ -64,13 +64,16 @@
     return out;
 }
 
-entry_actions
-entry_host::on_upstreams(const std::vector<routes::upstream>& upstreams,
-                         std::uint64_t version, core::boot_instant now)
+entry_actions entry_host::on_upstreams(
+    const std::vector<routes::upstream>& upstreams, std::uint64_t version,
+    std::optional<core::boot_instant> read_at, core::boot_instant now)
 {
     entry_actions out;
-    m_upstreams_version =
-        std::max({m_upstreams_version, version, m_requested_upstreams_version});
+    m_upstreams_version = std::max(m_upstreams_version, version);
+    // The rows of a list don't show the version of the last removal.
+    if (read_at && *read_at >= m_upstreams_requested_at)
+        m_upstreams_version =
+            std::max(m_upstreams_version, m_requested_upstreams_version);
     m_directory.replace(upstreams, now);
     update_upstreams(now, out);
     return out;
--- a/src/plantainward/entry/entry_host.hpp
+++ b/src/plantainward/entry/entry_host.hpp
@@ -180,9 +180,13 @@
 
     /// Replaces the routing; ignores one that is not newer.
     entry_actions on_routing(routes::routing routing, core::boot_instant now);
-    /// Replaces the whole list of databases; versions order its changes.
+    /// Replaces the whole list of databases; versions order its changes. The
+    /// list was read from the table service no earlier than `read_at`, which is
+    /// empty for a list of another host.
     entry_actions on_upstreams(const std::vector<routes::upstream>& upstreams,
-                               std::uint64_t version, core::boot_instant now);
+                               std::uint64_t version,
+                               std::optional<core::boot_instant> read_at,
+                               core::boot_instant now);
     /// Adds or replaces one database.
     entry_actions on_upstream(const routes::upstream& upstream,
                               std::uint64_t version, core::boot_instant now);
@@ -345,8 +349,10 @@
     /// Newest versions that any peer's heartbeat has shown.
     std::uint64_t m_peer_routing_version{0};
     std::uint64_t m_peer_upstreams_version{0};
-    /// Newest version of a peer when the list of databases was last requested.
+    /// Newest version of a peer when the list of databases was last requested,
+    /// and the instant of the request: a list read since then includes it.
     std::uint64_t m_requested_upstreams_version{0};
+    core::boot_instant m_upstreams_requested_at{};
     /// Leaving primaries that were reported, by service.
     std::map<std::string, std::string> m_reported_leaving;
     std::map<fleet::service_key, std::string> m_service_keys;
--- a/src/plantainward/entry/entry_host_fleet.cpp
+++ b/src/plantainward/entry/entry_host_fleet.cpp
@@ -100,6 +100,7 @@
     if (!upstreams_behind)
         return;
     m_requested_upstreams_version = m_peer_upstreams_version;
+    m_upstreams_requested_at = now;
     out.control.emplace_back(read_upstreams_action{});
 }
 
--- a/src/plantainward/entry/entry_host_updates.cpp
+++ b/src/plantainward/entry/entry_host_updates.cpp
@@ -89,7 +89,8 @@
     if (update.voters)
         set_voters(*update.voters);
     if (update.upstreams && update.versions.upstreams > m_upstreams_version)
-        add(on_upstreams(*update.upstreams, update.versions.upstreams, now));
+        add(on_upstreams(*update.upstreams, update.versions.upstreams,
+                         std::nullopt, now));
     if (update.routing)
         add(on_routing(*update.routing, now));
     return out;
--- a/tests/entry/table_update_tests.cpp
+++ b/tests/entry/table_update_tests.cpp
@@ -1,5 +1,6 @@
 #include <plantainward/entry/entry_host.hpp>
 
+#include <algorithm>
 #include <string>
 
 #include <CppUTest/TestHarness.h>
@@ -48,7 +49,7 @@
         source.emplace(entry::entry_identity{voter, "a", 1});
         source->on_members(all, 50, now, now);
         source->on_records({}, {voters.version, voters}, now, now);
-        source->on_upstreams(upstreams(), 60, now);
+        source->on_upstreams(upstreams(), 60, now, now);
         source->on_routing(routing(3), now);
         receiver.emplace(entry::entry_identity{other, "b", 1});
         receiver->on_members(all, 50, now, now);
@@ -156,7 +157,7 @@
     update_world world;
     auto newer = upstreams();
     newer.front().id = "i-2";
-    world.receiver->on_upstreams(newer, 70, world.now);
+    world.receiver->on_upstreams(newer, 70, world.now, world.now);
     fleet::table_update old;
     old.versions = {3, 60, 50};
     old.upstreams = upstreams();
@@ -185,3 +186,36 @@
     CHECK(update.has_value());
     CHECK_FALSE(update->is_current);
 }
+
+TEST(table_update, a_list_of_another_host_does_not_count_as_the_requested_one)
+{
+    // Guards against a host that took an older list for the one that it had
+    // requested, and ignored the newer list, in which a database leaves.
+    update_world world;
+    fleet::heartbeat ahead;
+    ahead.host = world.voter;
+    ahead.incarnation = 9;
+    ahead.sequence = 1;
+    ahead.upstreams_version = 90;
+    world.receiver->on_heartbeat(fleet::encode(ahead), world.now);
+    ++ahead.sequence;
+    const auto requested_at = world.now + millis(600);
+    const auto actions =
+        world.receiver->on_heartbeat(fleet::encode(ahead), requested_at);
+    CHECK(std::any_of(
+        actions.control.begin(), actions.control.end(), [](const auto& action) {
+            return std::holds_alternative<entry::read_upstreams_action>(action);
+        }));
+    fleet::table_update update;
+    update.versions.upstreams = 70;
+    update.upstreams = upstreams();
+    world.receiver->on_table_update(update, requested_at + millis(10));
+    LONGS_EQUAL(70, world.receiver->versions().upstreams);
+    // Nor does a list whose read began before the request.
+    world.receiver->on_upstreams(upstreams(), 70, world.now,
+                                 requested_at + millis(20));
+    LONGS_EQUAL(70, world.receiver->versions().upstreams);
+    world.receiver->on_upstreams(upstreams(), 70, requested_at + millis(5),
+                                 requested_at + millis(30));
+    LONGS_EQUAL(90, world.receiver->versions().upstreams);
+}
--- a/tests/support/fleet_world.cpp
+++ b/tests/support/fleet_world.cpp
@@ -173,8 +173,8 @@
             trace(name, event);
         });
     run(name, started.host->on_routing(routing(), m_now));
-    run(name,
-        started.host->on_upstreams(upstreams(), m_upstreams_version, m_now));
+    run(name, started.host->on_upstreams(upstreams(), m_upstreams_version,
+                                         m_now, m_now));
     tick_host(name, started.incarnation);
 }
 
--- a/tests/support/fleet_world_platform.cpp
+++ b/tests/support/fleet_world_platform.cpp
@@ -104,7 +104,7 @@
         if (!m_store_up || is_cut(name, store_name))
             return announce_upstreams(name, feed_retry_interval);
         run(name, m_hosts.at(name).host->on_upstreams(
-                      upstreams(), m_upstreams_version, m_now));
+                      upstreams(), m_upstreams_version, m_now, m_now));
     });
 }
 
