Versions carry the era of the store, and lost records are written again

Cause: versions were taken to grow for ever. A table read after the restore was thrown away as outdated until the counter had caught up; feeds continued at numbers that stood for other changes; a claim's condition named a version that the row no longer had; a host that restarted took an old record for the present one. Class: an order of events taken from a counter that another system may set back. Ruled out: patches at each comparison. They would not order a row of the copy and a record in a host's memory. The product's versions, tokens and incarnations keep their type and now grow across eras. Records and the voter set carry the era in which they were written; restored ones prove nothing and are written again by a voter once a quorum has proved its record since. A leaving database stays leaving until it restarts. Among equal logs a claim takes the present primary. New events store_restored and record_rewritten. Conclusion: the causes are mended as far as the tests show them.

--- a/src/plantainward/entry/entry_host.cpp
+++ b/src/plantainward/entry/entry_host.cpp
@@ -168,25 +168,28 @@
     return true;
 }
 
-entry_actions entry_host::on_records(
-    const std::map<std::string, succession::leadership>& records,
-    const fleet::voter_row& voters, core::boot_instant read_at,
-    core::boot_instant now)
+entry_actions entry_host::on_records(const record_table& table,
+                                     core::boot_instant read_at,
+                                     core::boot_instant now)
 {
     entry_actions out;
-    bool changed =
-        !m_knows_records || voters.version > m_fleet.read_voters_version();
+    if (!m_knows_records && awaits_rewrite(table, now))
+        return out;
+    bool changed = !m_knows_records ||
+                   table.voters.version > m_fleet.read_voters_version();
+    changed = adopt_restored(table, now, out) || changed;
+    update_voters(table.voters, read_at, now);
     m_knows_records = true;
-    update_voters(voters, read_at);
-    for (const auto& [service, record] : records)
+    for (const auto& [service, record] : table.records)
     {
         changed = update_record(service, record, now, out) || changed;
         auto& read = m_record_reads[service];
         if (read_at >= read.at)
             read = {record.version, read_at};
     }
+    note_lost_records(table, read_at, now);
     prove_by_reads();
-    for (const auto& [service, record] : records)
+    for (const auto& [service, record] : table.records)
         update_primary(succession_of(service), now, out);
     if (changed)
         send_heartbeats(now, out);
@@ -273,6 +276,14 @@
 {
     entry_actions out;
     auto& service_succession = succession_of(service);
+    if (id == rewrite_id)
+    {
+        report(observe::log_event::record_write, service,
+               outcome == succession::write_outcome::written ? "rewritten"
+                                                             : "not rewritten");
+        read_records(now, out);
+        return out;
+    }
     const bool is_late = !service_succession.awaits_write(id);
     report(observe::log_event::record_write, service,
            outcome == succession::write_outcome::written
@@ -449,7 +460,9 @@
     const bool can_reach_majority = m_fleet.can_reach_majority(now);
     for (auto& [service, service_succession] : m_successions)
     {
-        if (!m_may_claim && !service_succession.running_claim())
+        // A claim of a record that the table service has lost can't be written.
+        const bool may_begin = m_may_claim && !m_lost_records.contains(service);
+        if (!may_begin && !service_succession.running_claim())
             continue;
         const auto& record = service_succession.lease().record();
         succession::succession_view view;
@@ -496,6 +509,7 @@
     out.pooling = m_pooler.tick(now);
     update_upstreams(now, out);
     renew_leases(now, out);
+    rewrite_lost_records(now, out);
     change_voters(now, out);
     run_claims(now, out);
     const auto suspected_primaries = count_suspected_primaries(now);
--- a/src/plantainward/entry/entry_host.hpp
+++ b/src/plantainward/entry/entry_host.hpp
@@ -157,6 +157,17 @@
     voters
 };
 
+/// What one read of the shared records and of the voter set showed.
+struct record_table
+{
+    /// The records by service.
+    std::map<std::string, succession::leadership> records;
+    fleet::voter_row voters;
+    /// Records that came back with a table service that returned from a copy;
+    /// newer ones may have been lost. The version is that of the row.
+    std::map<std::string, succession::leadership> restored{};
+};
+
 /// Key of the voter set's row in the table of records; no service has it.
 inline constexpr std::string_view voters_key = "#voters";
 
@@ -197,11 +208,12 @@
 
     /// Updates all records and the voter set, which were read together and no
     /// earlier than `read_at`. The records prove leases, but no later than at
-    /// the last read of a list of hosts that contained this one.
-    entry_actions
-    on_records(const std::map<std::string, succession::leadership>& records,
-               const fleet::voter_row& voters, core::boot_instant read_at,
-               core::boot_instant now);
+    /// the last read of a list of hosts that contained this one. Restored
+    /// records prove nothing; a voter that knows the present ones writes these
+    /// again.
+    entry_actions on_records(const record_table& table,
+                             core::boot_instant read_at,
+                             core::boot_instant now);
     /// Replaces the list of registered hosts; versions order the lists. The
     /// whole list was read no earlier than `read_at`, which is empty if the
     /// list results from single changes.
@@ -270,6 +282,9 @@
     void stop_claims() { m_may_claim = false; }
 
 private:
+    /// Id of the writes that restore a record; those of claims begin with 1.
+    static constexpr std::uint64_t rewrite_id = 0;
+
     succession::succession& succession_of(const std::string& service);
     void update_primary(succession::succession& service_succession,
                         core::boot_instant now, entry_actions& out);
@@ -300,8 +315,20 @@
                         std::uint64_t version, core::boot_instant at) const;
     void prove_by_reads();
     void remove_lost_members(core::boot_instant now, entry_actions& out);
+    bool must_adopt(core::boot_instant now) const;
+    bool awaits_rewrite(const record_table& table, core::boot_instant now);
+    bool adopt_restored(const record_table& table, core::boot_instant now,
+                        entry_actions& out);
+    void note_lost_records(const record_table& table,
+                           core::boot_instant read_at, core::boot_instant now);
+    void rewrite_lost_records(core::boot_instant now, entry_actions& out);
+    std::optional<std::uint64_t>
+    lost_row_version(const record_table& table,
+                     const std::string& service) const;
+    bool may_rewrite(const std::string& service, core::boot_instant now) const;
     void set_voters(const fleet::voter_set& voters);
-    void update_voters(const fleet::voter_row& row, core::boot_instant read_at);
+    void update_voters(const fleet::voter_row& row, core::boot_instant read_at,
+                       core::boot_instant now);
     void change_voters(core::boot_instant now, entry_actions& out);
     std::size_t rank_for_voters() const;
     bool must_read_voters(core::boot_instant now) const;
@@ -330,6 +357,21 @@
     /// The row of the voter set as this host last read it.
     std::uint64_t m_voters_row_version{0};
     bool m_is_writing_voters{false};
+    bool m_is_voters_row_restored{false};
+    /// A row that has lost this host's record of a service.
+    struct lost_record
+    {
+        /// Version of the row; 0: the row is gone.
+        std::uint64_t row_version{0};
+        /// Version of the voter set's row that was read with it.
+        std::uint64_t voters_row_version{0};
+        /// When this state of the row was first read.
+        core::boot_instant read_at{};
+    };
+    std::map<std::string, lost_record> m_lost_records;
+    /// When lost records were first seen, while there are any.
+    std::optional<core::boot_instant> m_records_lost_since;
+    core::boot_instant m_last_rewrite{};
     /// When this host received its first list of hosts.
     core::boot_instant m_members_known_at{};
     fleet::plan_options m_plan_options;
--- a/src/plantainward/entry/entry_host_voters.cpp
+++ b/src/plantainward/entry/entry_host_voters.cpp
@@ -59,9 +59,15 @@
 }
 
 void entry_host::update_voters(const fleet::voter_row& row,
-                               core::boot_instant read_at)
+                               core::boot_instant read_at,
+                               core::boot_instant now)
 {
     m_voters_row_version = row.version;
+    m_is_voters_row_restored = row.is_restored;
+    // A restored set may be older than the one in force. It is needed where
+    // hosts that have restarted know no other, and no set has a quorum.
+    if (row.is_restored && m_knows_records && !must_adopt(now))
+        return;
     if (row.voters)
         set_voters(*row.voters);
     m_fleet.note_records_read(row.voters ? row.version : 0, read_at);
@@ -89,6 +95,8 @@
                 now - m_members_known_at >= first_read_delay);
     if (!m_fleet.is_voter())
         return false;
+    if (!m_lost_records.empty())
+        return true;
     const bool is_behind = std::max(version, m_fleet.newest_voters_version()) >
                            m_fleet.read_voters_version();
     return is_behind ||
@@ -99,16 +107,18 @@
 {
     const auto& voters = m_fleet.voters();
     const bool may_change = voters.version == 0 || m_fleet.is_voter();
+    // A host that starts takes the records of a present voter set for present
+    // ones, so the set is the last row to be written again.
     if (!m_knows_records || m_is_writing_voters || !m_may_claim ||
-        !is_registered() || !may_change)
+        !is_registered() || !may_change || !m_lost_records.empty())
         return;
     const auto rank = voters.version == 0
                           ? rank_for_voters()
                           : rank_for(std::string(voters_key), now);
     const auto due = m_voter_change.tick(
-        {voters, m_voters_row_version, m_members, m_fleet.heard_members(now),
-         m_fleet.absent_voters(now), m_fleet.previous_voters_informed(now),
-         rank},
+        {voters, m_is_voters_row_restored ? 0 : m_voters_row_version, m_members,
+         m_fleet.heard_members(now), m_fleet.absent_voters(now),
+         m_fleet.previous_voters_informed(now), rank},
         now);
     if (!due)
         return;
--- a/src/plantainward/entry/upstream_directory.cpp
+++ b/src/plantainward/entry/upstream_directory.cpp
@@ -19,7 +19,12 @@
 
 void upstream_directory::put(const routes::upstream& upstream)
 {
-    m_entries[upstream.id] = {upstream, false, {}};
+    auto& known = m_entries[upstream.id];
+    const bool has_announced =
+        known.upstream.leaving &&
+        known.upstream.started_at_ms == upstream.started_at_ms;
+    known = {upstream, false, {}};
+    known.upstream.leaving = upstream.leaving || has_announced;
 }
 
 void upstream_directory::remove(const std::string& id, core::boot_instant now)
--- a/src/plantainward/entry/upstream_directory.hpp
+++ b/src/plantainward/entry/upstream_directory.hpp
@@ -19,7 +19,9 @@
 class upstream_directory
 {
 public:
-    /// Adds or replaces a registration.
+    /// Adds or replaces a registration. A database that has announced that it
+    /// leaves stays leaving until it restarts, also when an older registration
+    /// of it comes back.
     void put(const routes::upstream& upstream);
 
     /// Marks a registration as ended.
--- a/src/plantainward/fleet/voter_set.hpp
+++ b/src/plantainward/fleet/voter_set.hpp
@@ -58,6 +58,9 @@
     std::uint64_t version{0};
     /// Empty when the row does not exist or is damaged.
     std::optional<voter_set> voters;
+    /// The table service has returned from a copy, and this row with it: the
+    /// set may have been changed since the copy was made.
+    bool is_restored{false};
 };
 
 /// Limits of the voter set.
--- a/src/plantainward/observe/log_event.cpp
+++ b/src/plantainward/observe/log_event.cpp
@@ -17,7 +17,7 @@
 constexpr int failure_per_s = 100;
 constexpr int request_per_s = 40;
 
-constexpr std::array<log_event_row, 38> table{{
+constexpr std::array<log_event_row, 40> table{{
     {started, "started", rare_per_s, "the process listens"},
     {stopped, "stopped", rare_per_s,
      "the process ends after a graceful shutdown"},
@@ -32,6 +32,10 @@
      "calls to the table service fail"},
     {dependency_regained, "dependency_regained", rare_per_s,
      "calls to the table service work again"},
+    {store_restored, "store_restored", rare_per_s,
+     "the table service has returned from a copy and may have lost changes; "
+     "all "
+     "tables are read again"},
     {routing_in_force, "routing_in_force", rare_per_s,
      "a newer routing is in force"},
     {routing_rejected, "routing_rejected", rare_per_s,
@@ -54,6 +58,8 @@
      "a newer record of a service's primary is known"},
     {record_write, "record_write", state_change_per_s,
      "this host's conditional write of a record has ended"},
+    {record_rewritten, "record_rewritten", state_change_per_s,
+     "this host writes a record again that the table service has lost"},
     {claim_started, "claim_started", state_change_per_s,
      "this host starts to replace a primary; with the cause"},
     {claim_ended, "claim_ended", state_change_per_s,
--- a/src/plantainward/succession/claim.cpp
+++ b/src/plantainward/succession/claim.cpp
@@ -269,18 +269,19 @@
 
 std::optional<std::string> claim::best_candidate(const claim_view& view) const
 {
+    // Among equal logs, the present primary needs no promotion.
+    const auto rank = [](const sql::database_status& status) {
+        return std::pair(status.received, status.is_primary ? status.term : 0);
+    };
     std::optional<std::string> best;
-    upstream::log_point longest;
     for (const auto& upstream : view.upstreams)
     {
         const auto* report = status_of(upstream.id);
         if (report == nullptr || !may_lead(view, upstream) ||
             m_rejected_at.contains(upstream.id))
             continue;
-        if (best && report->status.received <= longest)
-            continue;
-        best = upstream.id;
-        longest = report->status.received;
+        if (!best || rank(report->status) > rank(status_of(*best)->status))
+            best = upstream.id;
     }
     return best;
 }
--- a/standins/row_store/row_store.cpp
+++ b/standins/row_store/row_store.cpp
@@ -108,6 +108,24 @@
     return m_calls;
 }
 
+void row_store::restore(std::uint64_t version)
+{
+    const std::lock_guard lock(m_mutex);
+    std::erase_if(m_rows, [&](const auto& entry) {
+        return entry.second.version > version;
+    });
+    m_version = version;
+    ++m_era;
+    for (const auto& feed : std::exchange(m_feeds, {}))
+        feed.respond(answer(410));
+}
+
+std::uint64_t row_store::version() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_version;
+}
+
 bool row_store::has(const std::string& table, const std::string& key) const
 {
     const std::lock_guard lock(m_mutex);
@@ -146,9 +164,13 @@
     if (m_fault == store_fault::too_many)
         return respond(answer(429));
     const auto query = query_of(message.target);
+    const auto respond_with_era = [this, respond](http::response response) {
+        response.fields.emplace_back("Store-Era", std::to_string(m_era));
+        respond(response);
+    };
     const auto responder = m_fault == store_fault::lost_answers
                                ? http::responder([](const http::response&) {})
-                               : respond;
+                               : http::responder(respond_with_era);
     if (message.target == "/promotion")
     {
         const auto fields = json::parse(message.body).get_object();
@@ -163,7 +185,8 @@
         return get(query, responder);
     if (!message.target.starts_with("/rows-feed"))
         return responder(answer(404));
-    if (m_fault == store_fault::lost_history)
+    if (m_fault == store_fault::lost_history ||
+        std::stoull(query.at("after")) > m_version)
         return responder(answer(410));
     m_feeds.push_back(
         {query.at("table"), std::stoull(query.at("after")),
--- a/standins/row_store/row_store.hpp
+++ b/standins/row_store/row_store.hpp
@@ -53,6 +53,13 @@
              const std::string& text);
     void remove(const std::string& table, const std::string& key);
 
+    /// Returns from a copy that was made at this version: rows that changed
+    /// since are gone, the versions since are given out again, and a new era
+    /// begins.
+    void restore(std::uint64_t version);
+    /// The newest version.
+    std::uint64_t version() const;
+
     bool has(const std::string& table, const std::string& key) const;
 
     /// Number of requests so far, including those without an answer.
@@ -98,6 +105,7 @@
     promotion_handler m_on_promotion;
     std::map<std::pair<std::string, std::string>, row> m_rows;
     std::uint64_t m_version{10};
+    std::uint64_t m_era{1};
     std::vector<waiting_feed> m_feeds;
     std::size_t m_calls{0};
     boost::asio::steady_timer m_timer;
--- a/tests/entry/lease_tests.cpp
+++ b/tests/entry/lease_tests.cpp
@@ -89,7 +89,7 @@
 
     const auto later = read_at + millis(700);
     restarted.on_routing(one_service(), later);
-    restarted.on_records(settled(5), two_voters(), read_at, later);
+    restarted.on_records({settled(5), two_voters()}, read_at, later);
     const auto heartbeat = heartbeat_in(restarted.tick(later + millis(300)));
     const bool uses_old_primary =
         heartbeat && heartbeat->services.contains(fleet::key_of(service)) &&
@@ -106,7 +106,7 @@
     entry::entry_host host({"restarted", "a", 200});
     host.on_routing(one_service(), start);
     host.on_members(two_hosts(), 1, start, start);
-    host.on_records(settled(5), two_voters(), start, start);
+    host.on_records({settled(5), two_voters()}, start, start);
     const auto has_proof = [&](boot_instant when) {
         const auto heartbeat = heartbeat_in(host.tick(when));
         return heartbeat &&
@@ -116,7 +116,7 @@
     // The list of hosts is not read for longer than the time after which hosts
     // are removed.
     const auto returned_at = start + millis(9000);
-    host.on_records(settled(5), two_voters(), returned_at,
+    host.on_records({settled(5), two_voters()}, returned_at,
                     returned_at + millis(5));
     CHECK_FALSE(has_proof(returned_at + millis(300)));
     host.on_members(two_hosts(), 1, returned_at, returned_at + millis(310));
@@ -126,7 +126,7 @@
     other_hosts.erase("restarted");
     const auto removed_at = returned_at + millis(3000);
     host.on_members(other_hosts, 2, removed_at, removed_at);
-    host.on_records(settled(5), two_voters(), removed_at,
+    host.on_records({settled(5), two_voters()}, removed_at,
                     removed_at + millis(5));
     CHECK_FALSE(has_proof(removed_at + millis(600)));
 }
--- a/tests/entry/table_update_tests.cpp
+++ b/tests/entry/table_update_tests.cpp
@@ -48,12 +48,12 @@
             (voters.names.contains(name) ? voter : other) = name;
         source.emplace(entry::entry_identity{voter, "a", 1});
         source->on_members(all, 50, now, now);
-        source->on_records({}, {voters.version, voters}, now, now);
+        source->on_records({{}, {voters.version, voters}}, now, now);
         source->on_upstreams(upstreams(), 60, now, now);
         source->on_routing(routing(3), now);
         receiver.emplace(entry::entry_identity{other, "b", 1});
         receiver->on_members(all, 50, now, now);
-        receiver->on_records({}, {voters.version, voters}, now, now);
+        receiver->on_records({{}, {voters.version, voters}}, now, now);
     }
 
     boot_instant now{std::chrono::seconds(100)};
@@ -92,7 +92,7 @@
     const auto all = members(20);
     const fleet::voter_set voters{40, fleet::choose_voters(all, 20), {}};
     entry::entry_host host({"host-1", "a", 1});
-    host.on_records({}, {voters.version, voters}, now, now);
+    host.on_records({{}, {voters.version, voters}}, now, now);
     CHECK(host.choose_table_source() == entry::table_source::first_list);
     host.on_members(all, 50, now, now);
     CHECK(host.choose_table_source() == entry::table_source::table_service);
@@ -219,3 +219,22 @@
                                  requested_at + millis(30));
     LONGS_EQUAL(90, world.receiver->versions().upstreams);
 }
+
+TEST(table_update, a_leaving_database_stays_leaving_when_an_older_row_returns)
+{
+    // Guards against a database that was used again after its announcement,
+    // since the table service had returned from a copy made before.
+    update_world world;
+    auto leaving = upstreams().front();
+    leaving.leaving = true;
+    world.source->on_upstream(leaving, 61, world.now);
+    world.source->on_upstreams(upstreams(), 62, world.now, world.now);
+    const auto update = world.source->table_update_for({}, true, world.now);
+    CHECK(update->upstreams->front().leaving);
+    auto restarted = upstreams();
+    ++restarted.front().started_at_ms;
+    world.source->on_upstreams(restarted, 63, world.now, world.now);
+    CHECK_FALSE(world.source->table_update_for({}, true, world.now)
+                    ->upstreams->front()
+                    .leaving);
+}
--- a/tests/platform_adapter/document_tests.cpp
+++ b/tests/platform_adapter/document_tests.cpp
@@ -106,7 +106,9 @@
 {
     const succession::leadership record{
         4, succession::leadership_phase::settled, "i-1", 99, "h-1"};
-    CHECK(decode_record(encode_record(record)) == record);
+    const auto decoded = decode_record(encode_record(record, 3));
+    CHECK(decoded->value == record);
+    LONGS_EQUAL(3, decoded->era);
     const fleet::member member{{"10.0.0.1", 7}, "a", 170};
     CHECK(decode_member(encode_member(member)) == member);
     CHECK_FALSE(decode_record("junk").has_value());
--- a/tests/platform_adapter/store_client_tests.cpp
+++ b/tests/platform_adapter/store_client_tests.cpp
@@ -152,3 +152,42 @@
     store.reset();
     CHECK(write("a", 0).outcome == store_outcome::refused);
 }
+
+TEST(store_client, versions_of_a_later_era_are_newer)
+{
+    store->put("t", "a", "1");
+    store->put("t", "b", "1");
+    const auto copy = store->version() - 1;
+    const auto read = [&] {
+        return run([&](const store_handler& handler) {
+            client->read_table("t", timeout, handler);
+        });
+    };
+    const auto before = read();
+    store->restore(copy);
+    const auto after = read();
+    CHECK(after.version > before.version);
+    CHECK(after.rows.front().version > before.rows.back().version);
+}
+
+TEST(store_client, a_version_of_an_earlier_era_is_no_condition_for_a_write)
+{
+    // Guards against a write whose condition held by chance, since the number
+    // of the expected version had been given out again.
+    const auto copy = store->version();
+    store->put("t", "a", "1");
+    const auto expected = run([&](const store_handler& handler) {
+                              client->read_table("t", timeout, handler);
+                          })
+                              .rows.front()
+                              .version;
+    store->restore(copy);
+    store->put("t", "a", "2");
+    run([&](const store_handler& handler) {
+        client->read_table("t", timeout, handler);
+    });
+    const auto outcome = run([&](const store_handler& handler) {
+        client->write({"t", "a", "3", expected}, timeout, handler);
+    });
+    CHECK(outcome.outcome == store_outcome::conflict);
+}
--- a/tests/platform_adapter/table_follower_tests.cpp
+++ b/tests/platform_adapter/table_follower_tests.cpp
@@ -47,6 +47,7 @@
         };
         callbacks.reachability_changed = [](bool) {
         };
+        client->observe_era([this] { follower->restart(); });
         follower = std::make_unique<table_follower>(io, *client, "t",
                                                     batch_interval, callbacks);
     }
@@ -100,3 +101,40 @@
     run_for(millis(300));
     LONGS_EQUAL(2, rows);
 }
+
+TEST(table_follower, a_table_that_was_restored_from_a_copy_is_read_again)
+{
+    // Guards against a host that discarded the restored table as outdated until
+    // the store had given out as many versions again.
+    const auto copy = store->version();
+    for (const char* key : {"b", "c", "d"})
+        store->put("t", key, "2");
+    follower->start();
+    run_for(millis(300));
+    LONGS_EQUAL(4, rows);
+    store->restore(copy);
+    run_for(millis(600));
+    LONGS_EQUAL(1, rows);
+    store->put("t", "e", "3");
+    run_for(millis(400));
+    LONGS_EQUAL(2, rows);
+}
+
+TEST(table_follower, a_feed_does_not_continue_at_a_number_of_an_earlier_era)
+{
+    // Guards against a feed that missed the changes below a number which had
+    // been given out again while the host did not follow the table.
+    const auto copy = store->version();
+    store->put("t", "b", "2");
+    follower->start();
+    run_for(millis(300));
+    follower->stop();
+    store->restore(copy);
+    for (const char* key : {"c", "c", "d"})
+        store->put("t", key, "3");
+    client->read_table("t", millis(300), [](const store_answer&) {});
+    run_for(millis(200));
+    follower->start();
+    run_for(millis(300));
+    LONGS_EQUAL(3, rows);
+}
--- a/tests/support/fleet_world.cpp
+++ b/tests/support/fleet_world.cpp
@@ -163,18 +163,18 @@
 {
     auto& started = m_hosts.at(name);
     started.host.reset();
-    started.incarnation = ++m_store_version;
+    started.incarnation = version_of(++m_store_version);
     started.is_registered = true;
     started.deferred_steps.clear();
     started.host.emplace(
         entry::entry_identity{name, domain_of(name), started.incarnation});
-    if (m_trace != nullptr)
-        started.host->observe([this, name](const entry::host_event& event) {
+    started.host->observe([this, name](const entry::host_event& event) {
+        if (m_trace != nullptr)
             trace(name, event);
-        });
+    });
     run(name, started.host->on_routing(routing(), m_now));
-    run(name, started.host->on_upstreams(upstreams(), m_upstreams_version,
-                                         m_now, m_now));
+    run(name, started.host->on_upstreams(
+                  upstreams(), version_of(m_upstreams_version), m_now, m_now));
     tick_host(name, started.incarnation);
 }
 
@@ -228,8 +228,8 @@
     if (!m_store_up || is_cut(name, store_name))
         return on_host(name, feed_retry_interval,
                        [this, name] { announce_members(name); });
-    m_hosts.at(name).host->on_members(members(), m_members_version, m_now,
-                                      m_now);
+    m_hosts.at(name).host->on_members(members(), version_of(m_members_version),
+                                      m_now, m_now);
     if (!informed.is_registered)
         on_host(name, store_delay, [this, name] {
             m_hosts.at(name).is_registered = true;
@@ -408,21 +408,7 @@
             });
     }
     else if (std::holds_alternative<entry::read_records_action>(action))
-    {
-        if (!m_store_up || is_cut(name, store_name))
-            return;
-        const auto requested_at = m_now;
-        after(
-            draw(m_store_delay.value_or(time_range{store_delay, store_delay})),
-            [this, name, requested_at] {
-                on_host(name, link_delay,
-                        [this, name, requested_at, rows = m_records,
-                         voters = m_voters] {
-                            run(name, m_hosts.at(name).host->on_records(
-                                          rows, voters, requested_at, m_now));
-                        });
-            });
-    }
+        read_records(name);
     else if (std::holds_alternative<entry::abort_promotion_action>(action))
         abort_promotions(name);
     else if (const auto* removal =
@@ -438,7 +424,8 @@
             [this, name, requested_at] {
                 on_host(name, link_delay, [this, name, requested_at] {
                     m_hosts.at(name).host->on_members(
-                        members(), m_members_version, requested_at, m_now);
+                        members(), version_of(m_members_version), requested_at,
+                        m_now);
                 });
             });
     }
--- a/tests/support/fleet_world.hpp
+++ b/tests/support/fleet_world.hpp
@@ -101,7 +101,7 @@
     fleet_world& operator=(const fleet_world&) = delete;
 
     boot_instant now() const { return m_now; }
-    /// Prints the events of all hosts that start from now on.
+    /// Prints the events of all hosts from now on.
     void trace_to(std::ostream& out) { m_trace = &out; }
     void run_for(millis time);
 
@@ -126,6 +126,11 @@
     void crash_database(const std::string& id);
     void recover_database(const std::string& id);
     void set_store_up(bool up);
+    /// The table service returns from a copy of this age: it has lost the
+    /// records and voter sets that were written since, and gives out the
+    /// versions since then again, in a new era. Hosts that reach it notice that
+    /// within half a second.
+    void restore_store(millis age);
     void set_leaving(const std::string& id);
     /// Starts a new, empty database under the id of one that has left. It
     /// replicates from the primary.
@@ -213,6 +218,24 @@
         pooling::session_id session{0};
     };
 
+    /// A record as the table service keeps it; its version is the number that
+    /// the service gave out.
+    struct record_row
+    {
+        succession::leadership record;
+        std::uint64_t written_era{0};
+    };
+
+    /// The tables of records and voters at one instant.
+    struct store_copy
+    {
+        boot_instant at;
+        std::uint64_t number{0};
+        std::map<std::string, record_row> records;
+        fleet::voter_row voters;
+        std::uint64_t voters_era{0};
+    };
+
     struct promotion_in_flight
     {
         observed_promotion promotion;
@@ -264,6 +287,11 @@
     void commit(sim_connection& connection, sim_database& database,
                 sql::command_answer& answer);
     void replicate(const std::string& from);
+    /// A version of the present era.
+    std::uint64_t version_of(std::uint64_t number) const;
+    void save_copy();
+    entry::record_table read_record_table() const;
+    void read_records(const std::string& name);
     void write_record(const std::string& name,
                       const entry::write_record_action& action);
     void write_voters(const std::string& name,
@@ -302,10 +330,14 @@
         m_forwarded;
     std::set<std::pair<std::string, std::string>> m_cuts;
     bool m_store_up{true};
+    std::uint64_t m_era{1};
     std::uint64_t m_store_version{10};
     std::uint64_t m_members_version{0};
-    std::map<std::string, succession::leadership> m_records;
+    std::map<std::string, record_row> m_records;
+    /// Its version is the number that the service gave out.
     fleet::voter_row m_voters;
+    std::uint64_t m_voters_era{0};
+    std::vector<store_copy> m_copies;
     std::string m_leader;
     bool m_lose_promotions{false};
     bool m_lose_calls{false};
--- a/tests/support/fleet_world_platform.cpp
+++ b/tests/support/fleet_world_platform.cpp
@@ -103,8 +103,9 @@
     on_host(name, delay, [this, name] {
         if (!m_store_up || is_cut(name, store_name))
             return announce_upstreams(name, feed_retry_interval);
-        run(name, m_hosts.at(name).host->on_upstreams(
-                      upstreams(), m_upstreams_version, m_now, m_now));
+        run(name,
+            m_hosts.at(name).host->on_upstreams(
+                upstreams(), version_of(m_upstreams_version), m_now, m_now));
     });
 }
 
@@ -126,6 +127,74 @@
     announce_upstreams();
 }
 
+// Versions of a later era are higher; 0 stands for a missing row in all eras.
+std::uint64_t fleet_world::version_of(std::uint64_t number) const
+{
+    constexpr unsigned number_bits = 40;
+    return number == 0 ? 0 : (m_era << number_bits) + number;
+}
+
+void fleet_world::save_copy()
+{
+    m_copies.push_back(
+        {m_now, m_store_version, m_records, m_voters, m_voters_era});
+}
+
+void fleet_world::restore_store(millis age)
+{
+    store_copy copy{m_now, 10, {}, {}, 0};
+    for (const auto& saved : m_copies)
+        if (saved.at <= m_now - age)
+            copy = saved;
+    ++m_era;
+    m_store_version = copy.number;
+    m_records = copy.records;
+    m_voters = copy.voters;
+    m_voters_era = copy.voters_era;
+    m_checker.disturb_until(store_name, m_now);
+    announce_upstreams();
+    announce_members();
+    for (const auto& [name, host] : m_hosts)
+        on_host(name, draw({link_delay, millis(500)}),
+                [this, name = name] { read_records(name); });
+}
+
+entry::record_table fleet_world::read_record_table() const
+{
+    entry::record_table table;
+    for (const auto& [service, row] : m_records)
+    {
+        auto record = row.record;
+        record.version = version_of(record.version);
+        if (record.version == 0)
+            continue;
+        auto& records =
+            row.written_era < m_era ? table.restored : table.records;
+        records[service] = record;
+    }
+    table.voters = m_voters;
+    table.voters.version = version_of(m_voters.version);
+    table.voters.is_restored = m_voters.version != 0 && m_voters_era < m_era;
+    if (table.voters.voters)
+        table.voters.voters->version = table.voters.version;
+    return table;
+}
+
+void fleet_world::read_records(const std::string& name)
+{
+    if (!m_store_up || is_cut(name, store_name))
+        return;
+    const auto requested_at = m_now;
+    after(draw(m_store_delay.value_or(time_range{store_delay, store_delay})),
+          [this, name, requested_at] {
+              on_host(name, link_delay,
+                      [this, name, requested_at, table = read_record_table()] {
+                          run(name, m_hosts.at(name).host->on_records(
+                                        table, requested_at, m_now));
+                      });
+          });
+}
+
 void fleet_world::write_record(const std::string& name,
                                const entry::write_record_action& action)
 {
@@ -157,18 +226,20 @@
     after(delay, [this, action, answer, is_lost] {
         auto& row = m_records[action.service];
         const bool has_expected_version =
-            row.version == action.write.expected &&
+            version_of(row.record.version) == action.write.expected &&
             (!action.expected_voters ||
-             *action.expected_voters == m_voters.version);
+             *action.expected_voters == version_of(m_voters.version));
         if (has_expected_version)
         {
-            row = action.write.record;
-            row.version = ++m_store_version;
+            row = {action.write.record, m_era};
+            row.record.version = ++m_store_version;
+            save_copy();
         }
         if (is_lost)
             return;
         if (has_expected_version)
-            answer(succession::write_outcome::written, row.version);
+            answer(succession::write_outcome::written,
+                   version_of(row.record.version));
         else
             answer(succession::write_outcome::conflict, 0);
     });
@@ -188,10 +259,11 @@
                            : draw(m_store_delay.value_or(
                                  time_range{store_delay, store_delay}));
     after(delay, [this, action] {
-        if (m_voters.version != action.expected)
+        if (version_of(m_voters.version) != action.expected)
             return;
         m_voters = {++m_store_version, action.voters};
-        m_voters.voters->version = m_voters.version;
+        m_voters_era = m_era;
+        save_copy();
         ++m_history.voter_changes;
     });
     on_host(name, is_lost ? write_timeout : delay + link_delay, answer);
