Test: a host that starts confirms nothing by restored records

The mutant restored-records-believed was green: no test noticed a host that starts without waiting for the present records. This one is red with the guard out.

--- a/tests/entry/restored_store_tests.cpp
+++ b/tests/entry/restored_store_tests.cpp
@@ -135,3 +135,27 @@
             ("seed " + std::to_string(seed) + " serves nothing").c_str());
     }
 }
+
+TEST(restored_store, a_host_that_starts_confirms_nothing_by_restored_records)
+{
+    // Guards against a host that started after the restore and confirmed an old
+    // record, or claimed a service as if it had never had one.
+    const boot_instant start{std::chrono::seconds(100)};
+    fleet::members members;
+    for (const auto* name : {"host-1", "host-2", "host-3"})
+        members[name] = {{name, 1}, "a", 100};
+    entry::entry_host host({"host-1", "a", 90});
+    host.on_members(members, 50, start, start);
+    entry::record_table table;
+    table.restored["ledger"] = {
+        30, succession::leadership_phase::settled, "db-a", 1, "host-2", 1};
+    table.voters = {
+        40, fleet::voter_set{40, {"host-1", "host-2", "host-3"}, {}}, true};
+    host.on_records(table, start, start);
+    CHECK(host.choose_table_source() == entry::table_source::none);
+    // Nobody knows newer ones.
+    const auto later = start + millis(5000);
+    host.on_records(table, later, later);
+    CHECK(host.choose_table_source() == entry::table_source::table_service);
+    CHECK_FALSE(host.is_ready(later));
+}
