--- a/src/plantainward/core/error_kind.cpp
+++ b/src/plantainward/core/error_kind.cpp
@@ -11,7 +11,7 @@
 using enum error_kind;
 using enum effect;
 
-constexpr std::array<error_answer, 24> table{{
+constexpr std::array<error_answer, 26> table{{
     {bad_request, "bad_request", 400, not_run, false, 0},
     {bad_token, "bad_token", 400, not_run, false, 0},
     {not_found, "not_found", 404, not_run, false, 0},
@@ -35,6 +35,8 @@
     {bad_intent, "bad_intent", 400, not_run, false, 0},
     {bad_setting, "bad_setting", 400, not_run, false, 0},
     {platform_down, "platform_down", 503, unknown, true, 500},
+    {unauthenticated, "unauthenticated", 401, not_run, false, 0},
+    {quota_exceeded, "quota_exceeded", 429, not_run, true, 200},
     {internal, "internal", 500, unknown, false, 0},
 }};
 
--- a/src/plantainward/core/error_kind.hpp
+++ b/src/plantainward/core/error_kind.hpp
@@ -50,6 +50,10 @@
     bad_setting,
     /// A service of the platform failed or did not answer.
     platform_down,
+    /// The caller's key is not known, or has been withdrawn.
+    unauthenticated,
+    /// The workspace of the caller has used up its quota.
+    quota_exceeded,
     internal
 };
 
--- a/src/plantainward/entry/entry_host.cpp
+++ b/src/plantainward/entry/entry_host.cpp
@@ -15,9 +15,9 @@
 
 } // namespace
 
-entry_host::entry_host(entry_identity identity, core::millis leaving_grace)
-    : m_identity(std::move(identity)),
-      m_pooler({m_identity.failure_domain, leaving_grace}),
+entry_host::entry_host(entry_identity identity, entry_options options)
+    : m_identity(std::move(identity)), m_options(options),
+      m_pooler({m_identity.failure_domain, m_options.leaving_grace}),
       m_fleet(m_identity.name, m_identity.incarnation, m_fleet_options)
 {
 }
--- a/src/plantainward/entry/entry_host.hpp
+++ b/src/plantainward/entry/entry_host.hpp
@@ -144,6 +144,16 @@
     std::uint64_t incarnation{0};
 };
 
+/// Settings of a host.
+struct entry_options
+{
+    /// A leaving primary gets new work for this time at most.
+    core::millis leaving_grace{pooling::pooler_options{}.leaving_grace};
+    /// Time after which a withdrawn key is not used on any host; empty: a host
+    /// that is cut off may use it longer.
+    std::optional<core::millis> revocation_limit{};
+};
+
 /// Where a host gets changes of the routing, the databases and the hosts from.
 enum class table_source : std::uint8_t
 {
@@ -179,10 +189,7 @@
 class entry_host
 {
 public:
-    /// A leaving primary gets new work for `leaving_grace` at most.
-    explicit entry_host(
-        entry_identity identity,
-        core::millis leaving_grace = pooling::pooler_options{}.leaving_grace);
+    explicit entry_host(entry_identity identity, entry_options options = {});
 
     pooling::pooler& pooler() { return m_pooler; }
     const pooling::pooler& pooler() const { return m_pooler; }
@@ -350,6 +357,7 @@
     void report(const host_event& event) const;
 
     entry_identity m_identity;
+    entry_options m_options;
     pooling::pooler m_pooler;
     fleet::fleet_options m_fleet_options;
     fleet::fleet_view m_fleet;
--- a/src/plantainward/pooling/action.hpp
+++ b/src/plantainward/pooling/action.hpp
@@ -23,6 +23,8 @@
 {
     connection_id connection{0};
     routes::upstream upstream;
+    /// Workspace whose statements the connection runs; empty: none.
+    std::string workspace{};
 };
 
 /// Sends commands on a connection; the database answers them in order.
--- a/src/plantainward/pooling/connection.hpp
+++ b/src/plantainward/pooling/connection.hpp
@@ -39,6 +39,9 @@
 {
     connection_id id{0};
     std::string upstream;
+    /// Workspace under which it was opened; it runs only statements of this
+    /// one. Empty: none.
+    std::string workspace{};
     connection_stage stage{connection_stage::opening};
     /// Session that uses the connection; 0 when there is none.
     session_id user{0};
--- a/src/plantainward/pooling/forwarded_work.hpp
+++ b/src/plantainward/pooling/forwarded_work.hpp
@@ -37,6 +37,9 @@
     sql::statement statement;
     /// Route in force at the host that forwards the statement.
     routes::route route;
+    /// Workspace of the caller, which the forwarding host has checked; empty:
+    /// none.
+    std::string workspace{};
     session_values values;
     /// The prepared statement that `statement` executes; empty for other kinds.
     std::optional<prepared_statement> prepared;
--- a/src/plantainward/pooling/pooler.cpp
+++ b/src/plantainward/pooling/pooler.cpp
@@ -186,16 +186,22 @@
            pool->second.is_suspected(now);
 }
 
-bool pooler::open_session(session_id id, const std::string& database,
-                          core::boot_instant now)
+open_result pooler::open_session(session_id id, const std::string& database,
+                                 const std::string& key_digest,
+                                 core::boot_instant now)
 {
-    if (m_routing.find(database) == nullptr)
-        return false;
+    const auto* route = m_routing.find(database);
+    if (route == nullptr)
+        return open_result::unknown_database;
+    if (m_routing.has_workspaces && !route->is_public &&
+        m_routing.find_workspace(key_digest) == nullptr)
+        return open_result::unknown_key;
     auto& session = m_sessions[id];
     session.id = id;
     session.database = database;
+    session.key_digest = key_digest;
     session.last_active = now;
-    return true;
+    return open_result::opened;
 }
 
 actions pooler::close_session(session_id id, core::boot_instant now)
--- a/src/plantainward/pooling/pooler.hpp
+++ b/src/plantainward/pooling/pooler.hpp
@@ -68,6 +68,16 @@
 /// Receives the end of each statement of this host's callers; must not block.
 using statement_observer = std::function<void(const finished_statement&)>;
 
+/// Result of opening a session.
+enum class open_result : std::uint8_t
+{
+    opened,
+    /// No route has this database name.
+    unknown_database,
+    /// The route is not public, and no workspace holds the caller's key.
+    unknown_key
+};
+
 /// Settings of the pooler.
 struct pooler_options
 {
@@ -146,9 +156,11 @@
     leaving_since(const std::string& service,
                   const std::string& upstream) const;
 
-    /// Opens a session; returns false when no route has this database name.
-    bool open_session(session_id id, const std::string& database,
-                      core::boot_instant now);
+    /// Opens a session of a caller with a key, whose digest is empty without
+    /// one.
+    open_result open_session(session_id id, const std::string& database,
+                             const std::string& key_digest,
+                             core::boot_instant now);
     /// Closes a session; its open transaction is rolled back.
     actions close_session(session_id id, core::boot_instant now);
     /// Runs a statement, or queues it behind the session's current one. Each
--- a/src/plantainward/pooling/pooler_forwarding.cpp
+++ b/src/plantainward/pooling/pooler_forwarding.cpp
@@ -45,6 +45,7 @@
     forwarded_work result;
     result.statement = work.statement;
     result.route = work.route;
+    result.workspace = session.workspace;
     result.values = session.values;
     if (const auto found = session.prepared.find(work.statement.name);
         work.statement.kind == sql::statement_kind::execute &&
@@ -259,6 +260,7 @@
         session.database = work.route.database;
     }
     session.last_active = now;
+    session.workspace = std::move(work.workspace);
     session.values = std::move(work.values);
     if (work.prepared)
         session.prepared[work.statement.name] = *work.prepared;
--- a/src/plantainward/pooling/session.hpp
+++ b/src/plantainward/pooling/session.hpp
@@ -92,6 +92,11 @@
 {
     session_id id{0};
     std::string database;
+    /// SHA-256 digest of the caller's key; empty without one, and for sessions
+    /// of other hosts' callers.
+    std::string key_digest{};
+    /// Workspace of the running operation; empty: none.
+    std::string workspace{};
     session_values values;
     std::map<std::string, prepared_statement> prepared;
     std::optional<open_transaction> transaction;
--- a/src/plantainward/relay/internal/route_archive.hpp
+++ b/src/plantainward/relay/internal/route_archive.hpp
@@ -14,7 +14,8 @@
 void serialize(Archive& archive, route& route)
 {
     archive(route.database, route.service, route.consistency, route.timeout,
-            route.target_latency, route.priority, route.max_age);
+            route.target_latency, route.priority, route.max_age,
+            route.is_public);
 }
 
 } // namespace plantainward::routes
--- a/src/plantainward/relay/relay_message.cpp
+++ b/src/plantainward/relay/relay_message.cpp
@@ -40,9 +40,9 @@
 template <class Archive>
 void serialize(Archive& archive, forwarded_work& work)
 {
-    archive(work.statement, work.route, work.values, work.prepared, work.part,
-            work.read_only, work.transaction_age, work.time_left,
-            work.own_commit, work.own_commit_age);
+    archive(work.statement, work.route, work.workspace, work.values,
+            work.prepared, work.part, work.read_only, work.transaction_age,
+            work.time_left, work.own_commit, work.own_commit_age);
 }
 
 template <class Archive>
--- a/src/plantainward/relay/update_message.cpp
+++ b/src/plantainward/relay/update_message.cpp
@@ -16,11 +16,24 @@
     archive(limits.max_connections);
 }
 
+template <class Archive>
+void serialize(Archive& archive, quota_limit& limit)
+{
+    archive(limit.rate_per_s, limit.burst);
+}
+
+template <class Archive>
+void serialize(Archive& archive, workspace& workspace)
+{
+    archive(workspace.name, workspace.priority, workspace.quota);
+}
+
 template <class Archive>
 void serialize(Archive& archive, routing& routing)
 {
     archive(routing.version, routing.routes, routing.services,
-            routing.transaction_idle_timeout);
+            routing.transaction_idle_timeout, routing.has_workspaces,
+            routing.workspaces, routing.workspace_by_key_digest);
 }
 
 template <class Archive>
--- a/src/plantainward/routes/routing.cpp
+++ b/src/plantainward/routes/routing.cpp
@@ -9,4 +9,13 @@
     return found == routes.end() ? nullptr : &found->second;
 }
 
+const workspace* routing::find_workspace(std::string_view key_digest) const
+{
+    const auto holder = workspace_by_key_digest.find(key_digest);
+    if (holder == workspace_by_key_digest.end())
+        return nullptr;
+    const auto found = workspaces.find(holder->second);
+    return found == workspaces.end() ? nullptr : &found->second;
+}
+
 } // namespace plantainward::routes
--- a/src/plantainward/routes/routing.hpp
+++ b/src/plantainward/routes/routing.hpp
@@ -5,8 +5,11 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
+#include <optional>
 #include <string>
+#include <string_view>
 
 namespace plantainward::routes
 {
@@ -39,6 +42,28 @@
     int priority{0};
     /// Largest age of the data that reads return; unused by `latest`.
     core::millis max_age{0};
+    /// Callers need no key.
+    bool is_public{false};
+};
+
+/// Limit on the operations of one workspace, over all hosts together.
+struct quota_limit
+{
+    /// Operations a second.
+    double rate_per_s{0};
+    /// Operations that may come at once beyond the rate.
+    double burst{0};
+
+    bool operator==(const quota_limit&) const = default; // NOLINT
+};
+
+/// A group of callers with keys of its own.
+struct workspace
+{
+    std::string name;
+    int priority{0};
+    /// Empty: its operations are not limited.
+    std::optional<quota_limit> quota;
 };
 
 /// Limits that apply to each database of a service.
@@ -58,9 +83,20 @@
     std::map<std::string, service_limits> services;
     /// Idle time after which an open transaction is rolled back.
     core::millis transaction_idle_timeout{3000};
+    /// Whether callers need keys on routes that are not public.
+    bool has_workspaces{false};
+    /// Workspaces by name.
+    std::map<std::string, workspace> workspaces;
+    /// Name of the workspace that holds a key, by the SHA-256 digest of the
+    /// key. The keys themselves are not kept.
+    std::map<std::string, std::string, std::less<>> workspace_by_key_digest;
 
     /// The route of a database name; null when there is none.
     const route* find(const std::string& database) const;
+
+    /// The workspace that holds the key with this digest; null when no
+    /// workspace does.
+    const workspace* find_workspace(std::string_view key_digest) const;
 };
 
 /// A database process, as it registered itself.
--- a/tests/pooling/forwarding_tests.cpp
+++ b/tests/pooling/forwarding_tests.cpp
@@ -43,7 +43,8 @@
             pool.set_plan("ledger", {2, {}, {}});
         }
         hosts["front"].pool.set_plan("ledger", {0, {"first", "second"}, {}});
-        CHECK(hosts["front"].pool.open_session(caller, "cards", now));
+        CHECK(hosts["front"].pool.open_session(caller, "cards", {}, now) ==
+              open_result::opened);
     }
 
     static routes::routing routing()
@@ -295,7 +296,8 @@
     for (session_id id = 10; id < 210; ++id)
     {
         c.now += millis(25);
-        CHECK(front.open_session(id, "cards", c.now));
+        CHECK(front.open_session(id, "cards", {}, c.now) ==
+              open_result::opened);
         sql::statement statement;
         statement.kind = statement_kind::read;
         statement.id = "r" + std::to_string(id);
@@ -437,7 +439,7 @@
     for (const char* name : {"first", "second"})
     {
         auto& pool = c.hosts[name].pool;
-        CHECK(pool.open_session(99, "cards", c.now));
+        CHECK(pool.open_session(99, "cards", {}, c.now) == open_result::opened);
         sql::statement statement;
         statement.kind = statement_kind::read;
         statement.id = "own";
--- a/tests/support/fleet_world.cpp
+++ b/tests/support/fleet_world.cpp
@@ -472,7 +472,8 @@
 {
     const auto id = ++m_last_session;
     auto& pooler = m_hosts.at(host).host->pooler();
-    if (!pooler.open_session(id, database, m_now))
+    if (pooler.open_session(id, database, {}, m_now) !=
+        pooling::open_result::opened)
         return;
     m_calls[{host, id}].done = std::move(done);
     sql::statement submitted;
--- a/tests/support/pooler_case.hpp
+++ b/tests/support/pooler_case.hpp
@@ -73,7 +73,7 @@
 
     void open_session(session_id id, const std::string& database)
     {
-        CHECK(pool.open_session(id, database, now));
+        CHECK(pool.open_session(id, database, {}, now) == open_result::opened);
     }
 
     void submit(session_id id, statement_kind kind, const std::string& text,
