Tests: every test program uses a loopback address of its own

Cause: all test programs listened on fixed ports of 127.0.0.1, so two runs at the same time could not both listen, and the programs of one could reach the servers of the other. A proxy whose address is taken ends with code 1, and then a fleet does not start.

Change: support::loopback_ip() derives an address of 127.0.0.0/8 from the process id; servers of tests and of the bench fleet listen there.

After: platform, http, peer, upstream and platform_adapter tests, three pairs each side by side: 30 of 30 passed. processes_tests alone passed. The checks of the tests are unchanged.

--- a/bench/fleet.cpp
+++ b/bench/fleet.cpp
@@ -1,5 +1,7 @@
 #include "fleet.hpp"
 
+#include <support/loopback.hpp>
+
 #include <plantainward/intent/applier.hpp>
 #include <plantainward/intent/bundle.hpp>
 #include <plantainward/platform/http_platform.hpp>
@@ -25,7 +27,6 @@
 namespace
 {
 
-constexpr const char* loopback_ip = "127.0.0.1";
 constexpr int databases_per_service = 3;
 constexpr const char* peer_key = "bench-peer-key-001";
 constexpr core::millis request_timeout{2000};
@@ -33,7 +34,7 @@
 
 core::address loopback(int port)
 {
-    return {loopback_ip, static_cast<std::uint16_t>(port)};
+    return {support::loopback_ip(), static_cast<std::uint16_t>(port)};
 }
 
 } // namespace
--- a/bench/fleet.hpp
+++ b/bench/fleet.hpp
@@ -3,6 +3,8 @@
 #include "process.hpp"
 #include "shape.hpp"
 
+#include <support/loopback.hpp>
+
 #include <plantainward/core/host.hpp>
 #include <plantainward/core/time.hpp>
 #include <plantainward/http/client.hpp>
@@ -69,7 +71,10 @@
     void set_database_faults(int database, const std::string& body) const;
 
     // Platform.
-    core::address platform_address() const { return {"127.0.0.1", 22'000}; }
+    core::address platform_address() const
+    {
+        return {support::loopback_ip(), 22'000};
+    }
     process& platform() { return *m_platform; }
     /// Posts a JSON object of faults to the platform.
     void set_platform_faults(const std::string& body) const;
--- a/tests/http/server_tests.cpp
+++ b/tests/http/server_tests.cpp
@@ -1,3 +1,4 @@
+#include <support/loopback.hpp>
 #include <support/raw_client.hpp>
 
 #include <plantainward/http/client.hpp>
@@ -14,7 +15,7 @@
 namespace
 {
 
-const core::address server_address{"127.0.0.1", 17801};
+const core::address server_address{support::loopback_ip(), 17801};
 
 struct bad_input
 {
@@ -237,7 +238,7 @@
     const auto unanswered =
         http::send_and_wait(server_address, message, core::millis(100));
     CHECK(unanswered.outcome == http::exchange_outcome::timed_out);
-    const auto unconnected =
-        http::send_and_wait({"127.0.0.1", 17899}, message, core::millis(100));
+    const auto unconnected = http::send_and_wait(
+        {support::loopback_ip(), 17899}, message, core::millis(100));
     CHECK(unconnected.outcome == http::exchange_outcome::not_sent);
 }
--- a/tests/peer/frame_tests.cpp
+++ b/tests/peer/frame_tests.cpp
@@ -2,6 +2,7 @@
 #include <plantainward/peer/payload.hpp>
 #include <plantainward/peer/peer_client.hpp>
 #include <plantainward/peer/peer_server.hpp>
+#include <support/loopback.hpp>
 #include <support/raw_client.hpp>
 
 #include <atomic>
@@ -17,7 +18,7 @@
 namespace
 {
 
-const core::address server_address{"127.0.0.1", 17802};
+const core::address server_address{support::loopback_ip(), 17802};
 
 } // namespace
 
@@ -155,7 +156,7 @@
 TEST(peer_link, a_call_to_a_closed_port_ends_as_not_sent)
 {
     std::optional<call_outcome> received;
-    client.call({"127.0.0.1", 17899}, frame_kind::request, "x",
+    client.call({support::loopback_ip(), 17899}, frame_kind::request, "x",
                 core::millis(1000), [&](call_outcome outcome, const frame&) {
                     const std::lock_guard lock(mutex);
                     received = outcome;
--- a/tests/platform/platform_tests.cpp
+++ b/tests/platform/platform_tests.cpp
@@ -7,6 +7,8 @@
 
 #include <functional>
 
+#include <support/loopback.hpp>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace plantainward;
@@ -15,7 +17,7 @@
 namespace
 {
 
-const core::address platform_address{"127.0.0.1", 17804};
+const core::address platform_address{support::loopback_ip(), 17804};
 
 /// Checks the behaviour that every table service, object store and host list
 /// must have.
--- a/tests/platform_adapter/answer_order_tests.cpp
+++ b/tests/platform_adapter/answer_order_tests.cpp
@@ -11,6 +11,8 @@
 #include <optional>
 #include <set>
 
+#include <support/loopback.hpp>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace plantainward;
@@ -20,7 +22,7 @@
 namespace
 {
 
-const core::address store_address{"127.0.0.1", 18097};
+const core::address store_address{support::loopback_ip(), 18097};
 constexpr millis batch_interval{50};
 
 } // namespace
--- a/tests/platform_adapter/store_client_tests.cpp
+++ b/tests/platform_adapter/store_client_tests.cpp
@@ -6,6 +6,8 @@
 #include <chrono>
 #include <thread>
 
+#include <support/loopback.hpp>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace plantainward;
@@ -16,7 +18,7 @@
 namespace
 {
 
-const core::address store_address{"127.0.0.1", 18090};
+const core::address store_address{support::loopback_ip(), 18090};
 constexpr millis timeout{300};
 
 } // namespace
--- a/tests/platform_adapter/table_follower_tests.cpp
+++ b/tests/platform_adapter/table_follower_tests.cpp
@@ -5,6 +5,8 @@
 #include <chrono>
 #include <memory>
 
+#include <support/loopback.hpp>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace plantainward;
@@ -15,7 +17,7 @@
 namespace
 {
 
-const core::address store_address{"127.0.0.1", 18091};
+const core::address store_address{support::loopback_ip(), 18091};
 constexpr millis batch_interval{100};
 
 } // namespace
--- a/tests/pool_processes/pool_process_tests.cpp
+++ b/tests/pool_processes/pool_process_tests.cpp
@@ -2,6 +2,7 @@
 #include <plantainward/relay/relay_gateway.hpp>
 #include <process.hpp>
 #include <row_store/row_store.hpp>
+#include <support/loopback.hpp>
 #include <support/raw_client.hpp>
 
 #include <csignal>
@@ -18,7 +19,7 @@
 
 const std::string build_folder = PLANTAINWARD_BUILD_DIR;
 const std::string log_folder = build_folder + "/test-logs";
-constexpr const char* loopback = "127.0.0.1";
+const std::string loopback = support::loopback_ip();
 constexpr std::uint16_t store_port = 18100;
 constexpr std::uint16_t database_port = 18110;
 /// First of the four ports reserved for each host: callers, readiness, peers;
@@ -33,14 +34,14 @@
 
 std::string address_text(std::uint16_t port)
 {
-    return std::string(loopback) + ":" + std::to_string(port);
+    return loopback + ":" + std::to_string(port);
 }
 
 std::string settings_text(int host, std::uint16_t platform_port = store_port)
 {
     const auto store = address_text(platform_port);
     return R"({"node":"host-)" + std::to_string(host) +
-           R"(","zone":"a","ip":"127.0.0.1","listen":{"front":")" +
+           R"(","zone":"a","ip":")" + loopback + R"(","listen":{"front":")" +
            address_text(port_of(host, 0)) + R"(","ready":")" +
            address_text(port_of(host, 1)) + R"("},"internal_ports":[)" +
            std::to_string(port_of(host, 2)) + "," +
--- a/tests/upstream/gate_tests.cpp
+++ b/tests/upstream/gate_tests.cpp
@@ -7,6 +7,8 @@
 #include <plantainward/upstream/http_gate.hpp>
 #include <plantainward/upstream/wire.hpp>
 
+#include <support/loopback.hpp>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace plantainward;
@@ -14,7 +16,7 @@
 namespace
 {
 
-const core::address database_address{"127.0.0.1", 17803};
+const core::address database_address{support::loopback_ip(), 17803};
 
 /// A gate that calls a database directly.
 class fake_gate
