Workspaces and keys: decoding, and a check before each statement

Cause: configurations with workspaces list keys, and a statement may run only for a caller whose key the routing in force has.

Change: the adapter decodes workspaces, quota limits and public routes, and keeps only the digests of keys. A key of two workspaces, a workspace without a name or with the name of another one, and a malformed limit reject the whole routing. An empty list of workspaces still requires keys. The pooler looks the key up at BEGIN and before each statement that goes to a database: a withdrawn key is refused, and an open transaction under it, or under a key that belongs to another workspace now, is rolled back. After a change of the routing, idle transactions and waiting statements are checked at the next tick.

--- a/src/plantainward/pooling/pooler.cpp
+++ b/src/plantainward/pooling/pooler.cpp
@@ -63,6 +63,7 @@
     if (routing.version <= m_routing.version)
         return false;
     m_now = now;
+    m_must_recheck_keys = routing.has_workspaces || m_routing.has_workspaces;
     m_routing = std::move(routing);
     for (const auto& [name, limits] : m_routing.services)
         m_services.try_emplace(name);
@@ -195,11 +196,16 @@
         return open_result::unknown_database;
     if (m_routing.has_workspaces && !route->is_public &&
         m_routing.find_workspace(key_digest) == nullptr)
+    {
+        report_refusal(refusal_cause::unknown_key, {});
         return open_result::unknown_key;
+    }
     auto& session = m_sessions[id];
     session.id = id;
     session.database = database;
     session.key_digest = key_digest;
+    if (const auto* holder = holder_of_key(session))
+        session.workspace = holder->name;
     session.last_active = now;
     return open_result::opened;
 }
@@ -297,6 +303,8 @@
     if (route == nullptr)
         return reply(session, error_reply(session, core::error_kind::not_found,
                                           "no route has this database name"));
+    if (!authorize(session, statement))
+        return;
     session.transaction.emplace();
     session.transaction->read_only =
         statement.kind == statement_kind::begin_read_only;
@@ -323,6 +331,8 @@
     if (route == nullptr)
         return reply(session, error_reply(session, core::error_kind::not_found,
                                           "no route has this database name"));
+    if (!authorize(session, statement))
+        return;
     const auto route_in_force = *route;
     run_work(session, std::move(statement), route_in_force,
              route_in_force.timeout);
@@ -442,6 +452,8 @@
 actions pooler::tick(core::boot_instant now)
 {
     m_now = now;
+    if (std::exchange(m_must_recheck_keys, false))
+        end_withdrawn_work();
     end_expired_work();
     for (const auto id : m_queue)
     {
--- a/src/plantainward/pooling/pooler.hpp
+++ b/src/plantainward/pooling/pooler.hpp
@@ -68,6 +68,34 @@
 /// Receives the end of each statement of this host's callers; must not block.
 using statement_observer = std::function<void(const finished_statement&)>;
 
+/// Why a statement was refused before it was given to a database.
+enum class refusal_cause : std::uint8_t
+{
+    /// No workspace ever had the caller's key in the routing of this host.
+    unknown_key,
+    /// The key was valid earlier in the session, or belongs to another
+    /// workspace now than the open transaction.
+    withdrawn_key,
+    /// This host can't prove that its routing is current.
+    routing_not_proved
+};
+
+/// A refusal because of the caller's key or of the routing's age, for logs and
+/// metrics.
+struct identity_refusal
+{
+    refusal_cause cause{refusal_cause::unknown_key};
+    /// Workspace of the session before the refusal; empty: none.
+    std::string_view workspace;
+    std::uint64_t routing_version{0};
+    /// Time since the routing was proved to be current; negative when it was
+    /// not proved since this process started.
+    core::millis proof_age{-1};
+};
+
+/// Receives refusals; must not block. The refusal is valid during the call.
+using refusal_observer = std::function<void(const identity_refusal&)>;
+
 /// Result of opening a session.
 enum class open_result : std::uint8_t
 {
@@ -103,6 +131,11 @@
     /// empty.
     void observe(decision_observer on_decision,
                  statement_observer on_statement);
+    /// Sets the receiver of refusals because of a key or of the routing's age.
+    void observe_refusals(refusal_observer on_refusal)
+    {
+        m_on_refusal = std::move(on_refusal);
+    }
 
     /// Replaces the routing; returns false and changes nothing unless its
     /// version is newer.
@@ -232,6 +265,16 @@
                 const std::string& text);
     void fail_transaction(session& session, bool is_reported);
 
+    // The callers' keys.
+    bool authorize(session& session, const sql::statement& statement);
+    const routes::workspace* holder_of_key(const session& session) const;
+    bool needs_key(const session& session) const;
+    bool has_valid_identity(const session& session) const;
+    void refuse_identity(session& session, const sql::statement& statement,
+                         core::error_kind kind, const char* text);
+    void end_withdrawn_work();
+    void report_refusal(refusal_cause cause, const std::string& workspace);
+
     // Statements that other hosts run for this host, and this host for others.
     bool may_forward_to(const std::string& host, const std::string& service);
     void avoid_lost_host(const std::string& host);
@@ -292,7 +335,11 @@
     pooler_options m_options;
     decision_observer m_on_decision;
     statement_observer m_on_statement;
+    refusal_observer m_on_refusal;
     routes::routing m_routing;
+    /// The keys of waiting statements and open transactions have to be looked
+    /// up in the routing again.
+    bool m_must_recheck_keys{false};
     std::map<std::string, service_view> m_services;
     std::unordered_map<connection_id, connection_location> m_locations;
     std::unordered_map<session_id, session> m_sessions;
--- a/tests/platform_adapter/document_tests.cpp
+++ b/tests/platform_adapter/document_tests.cpp
@@ -1,6 +1,7 @@
 #include <documents.hpp>
 #include <host_settings.hpp>
 
+#include <plantainward/core/digest.hpp>
 #include <plantainward/core/last_error.hpp>
 
 #include <CppUTest/TestHarness.h>
@@ -28,6 +29,13 @@
   "services":[{"name":"s","max_connections":47}],
   "limits":{"transaction_idle_ms":3000}})";
 
+// The routing with a field `tenants` of this text.
+std::string with_workspaces(const std::string& tenants)
+{
+    return routing_text.substr(0, routing_text.size() - 1) +
+           ",\"tenants\":" + tenants + "}";
+}
+
 std::string without(std::string text, const std::string& field)
 {
     const auto at = text.find("\"" + field + "\"");
@@ -102,6 +110,112 @@
             decode_routing(without(routing_text, field)).has_value(), field);
 }
 
+TEST(documents, a_routing_without_workspaces_requires_no_keys)
+{
+    const auto decoded = decode_routing(routing_text);
+    CHECK_FALSE(decoded->has_workspaces);
+    CHECK(decoded->workspaces.empty());
+    CHECK_FALSE(decoded->find("db1")->is_public);
+}
+
+TEST(documents, workspaces_are_decoded_and_their_keys_kept_as_digests_only)
+{
+    const auto decoded = decode_routing(with_workspaces(
+        R"([{"name":"w1","api_keys":["k1","k2"],"priority":3,"rate_per_s":40.5,
+             "burst":20},{"name":"w2","api_keys":[]},
+            {"name":"w3","api_keys":["k3"],"rate_per_s":null,"burst":null}])"));
+    CHECK(decoded.has_value());
+    CHECK(decoded->has_workspaces);
+    LONGS_EQUAL(3, decoded->workspaces.size());
+    LONGS_EQUAL(3, decoded->workspace_by_key_digest.size());
+    const auto* workspace = decoded->find_workspace(core::sha256_hex("k2"));
+    CHECK(workspace != nullptr);
+    STRCMP_EQUAL("w1", workspace->name.c_str());
+    LONGS_EQUAL(3, workspace->priority);
+    CHECK((workspace->quota == routes::quota_limit{40.5, 20}));
+    CHECK_FALSE(decoded->workspaces.at("w2").quota.has_value());
+    CHECK_FALSE(decoded->workspaces.at("w3").quota.has_value());
+    POINTERS_EQUAL(nullptr, decoded->find_workspace("k2"));
+    POINTERS_EQUAL(nullptr, decoded->find_workspace(""));
+}
+
+// Removing the last workspace must not admit callers without a key.
+TEST(documents, an_empty_list_of_workspaces_still_requires_keys)
+{
+    const auto decoded = decode_routing(with_workspaces("[]"));
+    CHECK(decoded->has_workspaces);
+    CHECK(decoded->workspaces.empty());
+}
+
+TEST(documents, a_key_of_two_workspaces_rejects_the_routing)
+{
+    CHECK_FALSE(decode_routing(with_workspaces(
+                                   R"([{"name":"a","api_keys":["secret-key"]},
+                        {"name":"b","api_keys":["x","secret-key"]}])"))
+                    .has_value());
+    // Reasons are logged, so they must not contain a key.
+    CHECK(core::last_error().text.find("secret-key") == std::string::npos);
+    CHECK(decode_routing(
+              with_workspaces(R"([{"name":"a","api_keys":["k","k"]}])"))
+              .has_value());
+}
+
+TEST(documents, malformed_workspaces_reject_the_routing)
+{
+    for (const char* tenants :
+         {R"([{"api_keys":["k"]}])", R"([{"name":"","api_keys":["k"]}])",
+          R"([{"name":7,"api_keys":["k"]}])", R"(["w"])", R"({"name":"w"})",
+          "null", R"([{"name":"w"},{"name":"w"}])",
+          R"([{"name":"w","api_keys":"k"}])",
+          R"([{"name":"w","api_keys":[7]}])",
+          R"([{"name":"w","api_keys":[""]}])",
+          R"([{"name":"w","rate_per_s":"9","burst":9}])",
+          R"([{"name":"w","rate_per_s":9}])", R"([{"name":"w","burst":9}])",
+          R"([{"name":"w","rate_per_s":-1,"burst":9}])",
+          R"([{"name":"w","rate_per_s":9,"burst":-1}])"})
+        CHECK_FALSE_TEXT(decode_routing(with_workspaces(tenants)).has_value(),
+                         tenants);
+}
+
+TEST(documents, a_route_is_public_only_if_it_says_so)
+{
+    const auto with_public = [](const std::string& value) {
+        auto text = routing_text;
+        text.insert(text.find("\"host\""), "\"public\":" + value + ",");
+        return decode_routing(text);
+    };
+    CHECK(with_public("true")->find("db1")->is_public);
+    CHECK_FALSE(with_public("false")->find("db1")->is_public);
+    CHECK_FALSE(with_public("1").has_value());
+    CHECK_FALSE(with_public("null").has_value());
+}
+
+TEST(documents, a_thousand_keys_are_decoded)
+{
+    std::string tenants = "[";
+    for (int workspace = 0; workspace < 10; ++workspace)
+    {
+        tenants += std::string(workspace == 0 ? "" : ",") + R"({"name":"w)" +
+                   std::to_string(workspace) +
+                   R"(","rate_per_s":5,"burst":5,"api_keys":[)";
+        for (int key = 0; key < 100; ++key)
+            tenants += std::string(key == 0 ? "\"" : ",\"") + "k" +
+                       std::to_string(workspace * 100 + key) + "\"";
+        tenants += "]}";
+    }
+    const auto decoded = decode_routing(with_workspaces(tenants + "]"));
+    CHECK(decoded.has_value());
+    LONGS_EQUAL(1000, decoded->workspace_by_key_digest.size());
+    for (int key = 0; key < 1000; ++key)
+    {
+        const auto* workspace = decoded->find_workspace(
+            core::sha256_hex("k" + std::to_string(key)));
+        CHECK(workspace != nullptr);
+        STRCMP_EQUAL(("w" + std::to_string(key / 100)).c_str(),
+                     workspace->name.c_str());
+    }
+}
+
 TEST(documents, records_and_members_are_unchanged_by_encoding_and_decoding)
 {
     const succession::leadership record{
