Pooler: a statement runs only on a connection of its workspace

Cause: a database accepts a request only on a connection that was started under the workspace which holds the caller's key, and the pooler used any idle connection.

Change: a connection carries the workspace under which it was opened, and idle connections, capacity and openings are looked up by workspace. A full pool closes the least recently used idle connection of another workspace (never a busy, pinned, opening or probed one) to open a new one. An open transaction whose session has changed its workspace is rolled back and refused as aborted. Databases are probed on any idle connection, or on a new one without a workspace. Without workspaces nothing is evicted, and the cost is 0.

--- a/src/plantainward/pooling/placement.cpp
+++ b/src/plantainward/pooling/placement.cpp
@@ -1,5 +1,7 @@
 #include <plantainward/pooling/placement.hpp>
 
+#include <plantainward/pooling/connection_cost.hpp>
+
 #include <algorithm>
 
 namespace plantainward::pooling
@@ -52,11 +54,11 @@
 }
 
 bool is_usable(const upstream_pool& pool, const work& work,
-               core::boot_instant now)
+               const session& session, core::boot_instant now)
 {
     return !work.excluded.contains(pool.registration().id) &&
            !pool.is_withdrawn(now) && !pool.is_suspected(now) &&
-           pool.has_capacity(now);
+           pool.has_capacity(session.workspace, now);
 }
 
 double domain_cost_ms(const upstream_pool& pool, const std::string& own_domain)
@@ -68,13 +70,14 @@
 
 std::optional<placement> place_at_primary(const service_view& service,
                                           const work& work,
+                                          const session& session,
                                           core::boot_instant now)
 {
     if (!service.has_primary(now))
         return std::nullopt;
     const auto found = service.upstreams.find(service.primary);
     if (found == service.upstreams.end() ||
-        !is_usable(found->second, work, now))
+        !is_usable(found->second, work, session, now))
         return std::nullopt;
     return placement{service.primary, std::nullopt};
 }
@@ -86,7 +89,7 @@
                                const std::string& own_domain,
                                core::boot_instant now)
 {
-    auto at_primary = place_at_primary(service, work, now);
+    auto at_primary = place_at_primary(service, work, session, now);
     if (work.needs_primary)
         return at_primary;
     const auto point = required_point(service, work, session);
@@ -99,13 +102,14 @@
         const bool is_primary = id == service.primary;
         if (is_primary && !at_primary)
             continue;
-        if (pool.registration().leaving || !is_usable(pool, work, now))
+        if (pool.registration().leaving || !is_usable(pool, work, session, now))
             continue;
         if (!is_primary && pool.is_behind(*point, now))
             continue;
         auto cost_ms =
             pool.expected_ms() * static_cast<double>(pool.busy_count() + 1) +
-            domain_cost_ms(pool, own_domain);
+            domain_cost_ms(pool, own_domain) +
+            connection_cost_ms(pool, session);
         if (is_primary)
             cost_ms += primary_cost_ms;
         else if (pool.known_point() < *point)
--- a/src/plantainward/pooling/pooler.hpp
+++ b/src/plantainward/pooling/pooler.hpp
@@ -260,7 +260,12 @@
     connection* find(connection_id id);
     upstream_pool* pool_of(connection_id id);
     service_view* service_of(connection_id id);
-    connection& open(const std::string& service, upstream_pool& pool);
+    connection& open(const std::string& service, upstream_pool& pool,
+                     const std::string& workspace);
+    void make_room(upstream_pool& pool, const std::string& workspace);
+    static bool is_of_workspace(const connection& connection,
+                                const session& session);
+    void leave_connection(connection& connection, session& session);
     void assign_connection(connection& connection, session& session);
     void prepare_connection(connection& connection, session& session);
     void send_statement(connection& connection, session& session);
--- a/src/plantainward/pooling/pooler_connections.cpp
+++ b/src/plantainward/pooling/pooler_connections.cpp
@@ -40,12 +40,14 @@
     return found == service->upstreams.end() ? nullptr : &found->second;
 }
 
-connection& pooler::open(const std::string& service, upstream_pool& pool)
+connection& pooler::open(const std::string& service, upstream_pool& pool,
+                         const std::string& workspace)
 {
+    make_room(pool, workspace);
     const auto id = ++m_last_connection_id;
-    auto& new_connection = pool.add(id, m_now);
+    auto& new_connection = pool.add(id, workspace, m_now);
     m_locations[id] = {service, pool.registration().id};
-    m_actions.emplace_back(open_action{id, pool.registration()});
+    m_actions.emplace_back(open_action{id, pool.registration(), workspace});
     return new_connection;
 }
 
@@ -58,6 +60,8 @@
 
 void pooler::prepare_connection(connection& connection, session& session)
 {
+    if (!is_of_workspace(connection, session))
+        return leave_connection(connection, session);
     std::vector<sql::command> commands;
     add_values(connection, session.values, commands);
     add_prepared(connection, session, commands);
--- a/src/plantainward/pooling/pooler_maintenance.cpp
+++ b/src/plantainward/pooling/pooler_maintenance.cpp
@@ -116,11 +116,11 @@
         {
             if (!pool.needs_probe(m_now))
                 continue;
-            auto* connection = pool.idle_connection({});
+            auto* connection = pool.probe_connection();
             if (connection == nullptr)
             {
                 if (pool.may_open(m_now))
-                    open(name, pool);
+                    open(name, pool, {});
                 continue;
             }
             connection->stage = connection_stage::probing;
--- a/src/plantainward/pooling/pooler_queue.cpp
+++ b/src/plantainward/pooling/pooler_queue.cpp
@@ -103,10 +103,11 @@
                         ? "after " + upstream::to_string(*chosen->after)
                         : std::string());
     auto& pool = service.upstreams.at(chosen->upstream);
-    auto* connection = pool.idle_connection(session.values);
+    auto* connection = pool.idle_connection(session.workspace, session.values);
     if (connection == nullptr)
     {
-        auto& new_connection = open(work.route.service, pool);
+        auto& new_connection =
+            open(work.route.service, pool, session.workspace);
         new_connection.user = session.id;
         work.connection = new_connection.id;
         return true;
--- a/src/plantainward/pooling/upstream_pool.cpp
+++ b/src/plantainward/pooling/upstream_pool.cpp
@@ -66,6 +66,12 @@
            connection.unanswered > 0;
 }
 
+bool is_idle_of(const connection& connection, std::string_view workspace)
+{
+    return connection.stage == connection_stage::idle &&
+           connection.workspace == workspace;
+}
+
 } // namespace
 
 void upstream_pool::set_registration(const routes::upstream& registration,
@@ -84,12 +90,13 @@
     return found == m_connections.end() ? nullptr : &found->second;
 }
 
-connection* upstream_pool::idle_connection(const session_values& values)
+connection* upstream_pool::idle_connection(std::string_view workspace,
+                                           const session_values& values)
 {
     connection* best = nullptr;
     for (auto& [id, connection] : m_connections)
     {
-        if (connection.stage != connection_stage::idle)
+        if (!is_idle_of(connection, workspace))
             continue;
         if (connection.values == values)
             return &connection;
@@ -99,9 +106,63 @@
     return best;
 }
 
+bool upstream_pool::has_idle_connection(std::string_view workspace) const
+{
+    return std::any_of(m_connections.begin(), m_connections.end(),
+                       [&](const auto& connection) {
+                           return is_idle_of(connection.second, workspace);
+                       });
+}
+
+connection* upstream_pool::probe_connection()
+{
+    connection* best = nullptr;
+    for (auto& [id, connection] : m_connections)
+    {
+        if (connection.stage != connection_stage::idle)
+            continue;
+        if (connection.values.empty())
+            return &connection;
+        if (best == nullptr)
+            best = &connection;
+    }
+    return best;
+}
+
+const connection*
+upstream_pool::eviction_candidate(std::string_view workspace) const
+{
+    // Above the share, closing one connection makes no room for another.
+    if (m_connections.size() != m_share)
+        return nullptr;
+    const connection* oldest = nullptr;
+    for (const auto& [id, connection] : m_connections)
+    {
+        if (connection.stage != connection_stage::idle ||
+            connection.workspace == workspace)
+            continue;
+        if (oldest == nullptr || connection.last_used < oldest->last_used)
+            oldest = &connection;
+    }
+    return oldest;
+}
+
 bool upstream_pool::may_open(core::boot_instant now) const
 {
-    if (m_connections.size() >= m_share || now < m_no_open_before)
+    return m_connections.size() < m_share && is_opening_allowed(now);
+}
+
+bool upstream_pool::may_open(std::string_view workspace,
+                             core::boot_instant now) const
+{
+    return (m_connections.size() < m_share ||
+            eviction_candidate(workspace) != nullptr) &&
+           is_opening_allowed(now);
+}
+
+bool upstream_pool::is_opening_allowed(core::boot_instant now) const
+{
+    if (now < m_no_open_before)
         return false;
     // After a failure, connections are opened one at a time.
     if (m_failures == 0)
@@ -112,25 +173,24 @@
         });
 }
 
-bool upstream_pool::has_capacity(core::boot_instant now) const
+bool upstream_pool::has_capacity(std::string_view workspace,
+                                 core::boot_instant now) const
 {
     if (now < m_no_send_before)
         return false;
     if (m_send_limit > 0 &&
         static_cast<double>(busy_count() + 1) > std::max(1.0, m_send_limit))
         return false;
-    const bool has_idle = std::any_of(
-        m_connections.begin(), m_connections.end(), [](const auto& connection) {
-            return connection.second.stage == connection_stage::idle;
-        });
-    return has_idle || may_open(now);
+    return has_idle_connection(workspace) || may_open(workspace, now);
 }
 
-connection& upstream_pool::add(connection_id id, core::boot_instant now)
+connection& upstream_pool::add(connection_id id, std::string workspace,
+                               core::boot_instant now)
 {
     auto& new_connection = m_connections[id];
     new_connection.id = id;
     new_connection.upstream = m_registration.id;
+    new_connection.workspace = std::move(workspace);
     new_connection.sent_at = now;
     new_connection.last_used = now;
     return new_connection;
--- a/src/plantainward/pooling/upstream_pool.hpp
+++ b/src/plantainward/pooling/upstream_pool.hpp
@@ -8,6 +8,8 @@
 #include <cstddef>
 #include <map>
 #include <optional>
+#include <string>
+#include <string_view>
 
 namespace plantainward::pooling
 {
@@ -55,18 +57,34 @@
     /// A connection of this pool; null when there is none with this id.
     connection* find(connection_id id);
 
-    /// An idle connection, preferably one that holds these session values; null
-    /// when there is none.
-    connection* idle_connection(const session_values& values);
+    /// An idle connection of the workspace, preferably one that holds these
+    /// session values; null when there is none.
+    connection* idle_connection(std::string_view workspace,
+                                const session_values& values);
+    /// Whether the workspace has an idle connection.
+    bool has_idle_connection(std::string_view workspace) const;
 
-    /// Whether another connection may be opened now.
+    /// A connection of any workspace on which the database can be probed; null
+    /// when none is idle.
+    connection* probe_connection();
+
+    /// The connection that is closed to make room for one of the workspace: the
+    /// least recently used idle connection of the other workspaces. Null when
+    /// there is room, and when nothing can be closed.
+    const connection* eviction_candidate(std::string_view workspace) const;
+
+    /// Whether another connection may be opened now without closing one.
     bool may_open(core::boot_instant now) const;
+    /// Whether a connection of the workspace may be opened now, possibly after
+    /// closing the `eviction_candidate`.
+    bool may_open(std::string_view workspace, core::boot_instant now) const;
 
-    /// Whether a statement can start here now.
-    bool has_capacity(core::boot_instant now) const;
+    /// Whether a statement of the workspace can start here now.
+    bool has_capacity(std::string_view workspace, core::boot_instant now) const;
 
-    /// Adds a connection that is being opened.
-    connection& add(connection_id id, core::boot_instant now);
+    /// Adds a connection that is being opened for a workspace.
+    connection& add(connection_id id, std::string workspace,
+                    core::boot_instant now);
     void erase(connection_id id) { m_connections.erase(id); }
 
     /// The database sent something; ends any suspicion and backoff.
@@ -128,6 +146,8 @@
 
 private:
     std::optional<core::boot_instant> oldest_unanswered() const;
+    /// Whether pauses after failures allow another connection to be opened.
+    bool is_opening_allowed(core::boot_instant now) const;
 
     routes::upstream m_registration;
     core::millis m_leaving_grace;
