Connection budget: a pause after a refused opening that only time ends

Cause: record_contact ended the pause after TOOMANY, so any answer on another connection let each waiting statement open a connection again; a reset while opening was tried again after 50 ms.

Change: connection_budget limits a host to the connections that it holds after a refused or reset opening. After it, connections are opened one at a time until as many succeeded as were refused. Where a few hosts hold a service's connections (connection_plan::is_shared), the first openings are limited to the number of open connections, and a host that only watches probes an idle database 2 s after its start; a doubted database is probed at once as before.

--- a/src/plantainward/entry/entry_host.cpp
+++ b/src/plantainward/entry/entry_host.cpp
@@ -17,7 +17,8 @@
 
 entry_host::entry_host(entry_identity identity, entry_options options)
     : m_identity(std::move(identity)), m_options(options),
-      m_pooler({m_identity.failure_domain, m_options.leaving_grace}),
+      m_pooler({m_identity.failure_domain, m_options.leaving_grace,
+                m_identity.name}),
       m_fleet(m_identity.name, m_identity.incarnation, m_fleet_options)
 {
 }
@@ -254,7 +255,8 @@
             service,
             {holders.share_of(m_identity.name),
              holders.delegates_of(m_identity.name, m_identity.failure_domain),
-             holders.fallback_delegates_of(m_identity.name, m_members)});
+             holders.fallback_delegates_of(m_identity.name, m_members),
+             !holders.all_hosts_hold});
         needs_proofs = needs_proofs || watches(service);
     }
     m_fleet.set_needs_proofs(needs_proofs);
--- a/src/plantainward/pooling/pooler.cpp
+++ b/src/plantainward/pooling/pooler.cpp
@@ -74,7 +74,13 @@
     auto& view = m_services[service];
     view.plan = std::move(plan);
     for (auto& [id, pool] : view.upstreams)
-        pool.set_share(view.plan.share);
+        apply_plan(view.plan, pool);
+}
+
+void pooler::apply_plan(const connection_plan& plan, upstream_pool& pool)
+{
+    pool.set_share(plan.share);
+    pool.set_slow_start(plan.is_shared);
 }
 
 actions pooler::set_upstreams(const std::vector<routes::upstream>& upstreams,
@@ -112,12 +118,15 @@
     for (const auto& upstream : upstreams)
     {
         auto& service = m_services[upstream.service];
-        auto& pool =
-            service.upstreams
-                .try_emplace(upstream.id, upstream, m_options.leaving_grace)
-                .first->second;
+        const auto [found, is_new] = service.upstreams.try_emplace(
+            upstream.id, upstream, m_options.leaving_grace, m_options.host);
+        auto& pool = found->second;
         pool.set_registration(upstream, now);
-        pool.set_share(service.plan.share);
+        apply_plan(service.plan, pool);
+        const bool only_watches =
+            service.plan.is_shared && !service.plan.delegates.empty();
+        if (is_new && only_watches)
+            pool.delay_first_probe(now);
     }
     serve_queue();
     return collect_actions();
--- a/src/plantainward/pooling/pooler.hpp
+++ b/src/plantainward/pooling/pooler.hpp
@@ -86,6 +86,8 @@
     /// Time for which a leaving primary still gets new work, from the instant
     /// at which this host learns that it is leaving.
     core::millis leaving_grace{3000};
+    /// Name of this host; spreads its pauses from those of other hosts.
+    std::string host{};
 };
 
 /// Runs the statements of callers' sessions on pooled database connections.
@@ -257,6 +259,7 @@
     void end_expired_work();
 
     // Connections.
+    static void apply_plan(const connection_plan& plan, upstream_pool& pool);
     connection* find(connection_id id);
     upstream_pool* pool_of(connection_id id);
     service_view* service_of(connection_id id);
--- a/src/plantainward/pooling/pooler_connections.cpp
+++ b/src/plantainward/pooling/pooler_connections.cpp
@@ -213,7 +213,7 @@
     auto* connection = find(id);
     if (connection == nullptr)
         return collect_actions();
-    pool_of(id)->record_contact(now);
+    pool_of(id)->record_opened(now);
     const auto user_session = m_sessions.find(connection->user);
     if (user_session != m_sessions.end() && user_session->second.current &&
         user_session->second.current->connection == id)
@@ -236,12 +236,10 @@
         return collect_actions();
     if (refusal == sql::refusal::too_many_connections ||
         refusal == sql::refusal::busy)
-    {
         pool->record_contact(now);
-        pool->record_connection_limit(now);
-    }
     else
         pool->record_failure(now);
+    pool->record_refused_opening(pool->find(id)->sent_at, now);
     remove_connection(id);
     serve_queue();
     return collect_actions();
--- a/src/plantainward/pooling/service_view.hpp
+++ b/src/plantainward/pooling/service_view.hpp
@@ -23,7 +23,9 @@
     std::vector<std::string> delegates;
     /// Hosts that run statements for the primary while this host can't reach
     /// it, in order of preference.
-    std::vector<std::string> fallback_delegates;
+    std::vector<std::string> fallback_delegates{};
+    /// The connections are divided among a few hosts, not among all.
+    bool is_shared{false};
 };
 
 /// The databases of one service, with its primary and the proofs of freshness.
--- a/src/plantainward/pooling/upstream_pool.cpp
+++ b/src/plantainward/pooling/upstream_pool.cpp
@@ -29,9 +29,11 @@
 constexpr core::millis first_backoff{50};
 constexpr core::millis max_backoff{400};
 
-// Delay before the next opening after the database refused a connection because
-// it has too many.
-constexpr core::millis connection_limit_pause{300};
+// Delay of the first probe of a watching host. After a loss of power, databases
+// hold the connections of the lost hosts for 3 s, and a host that is back after
+// one second would take the place of a holder or be refused.
+constexpr core::millis first_probe_delay{2000};
+constexpr std::uint64_t max_first_probe_jitter_ms = 250;
 
 // Failures in a row after which the database is suspected.
 constexpr std::size_t min_suspect_failures = 2;
@@ -103,13 +105,25 @@
 {
     if (m_connections.size() >= m_share || now < m_no_open_before)
         return false;
+    const auto opening = opening_count();
     // After a failure, connections are opened one at a time.
-    if (m_failures == 0)
-        return true;
-    return std::none_of(
+    if (m_failures > 0 && opening > 0)
+        return false;
+    return m_budget.may_open(m_connections.size() - opening, opening, now);
+}
+
+std::size_t upstream_pool::opening_count() const
+{
+    return static_cast<std::size_t>(std::count_if(
         m_connections.begin(), m_connections.end(), [](const auto& connection) {
             return connection.second.stage == connection_stage::opening;
-        });
+        }));
+}
+
+void upstream_pool::delay_first_probe(core::boot_instant now)
+{
+    const auto jitter_ms = m_budget.seed() % (max_first_probe_jitter_ms + 1);
+    m_no_idle_probe_before = now + first_probe_delay + core::millis(jitter_ms);
 }
 
 bool upstream_pool::has_capacity(core::boot_instant now) const
@@ -159,9 +173,17 @@
     m_no_open_before = now + backoff;
 }
 
-void upstream_pool::record_connection_limit(core::boot_instant now)
+void upstream_pool::record_opened(core::boot_instant now)
+{
+    record_contact(now);
+    m_budget.record_opened();
+}
+
+// The connection whose opening was refused is still in the pool.
+void upstream_pool::record_refused_opening(core::boot_instant sent,
+                                           core::boot_instant now)
 {
-    m_no_open_before = now + connection_limit_pause;
+    m_budget.record_refused(m_connections.size() - opening_count(), sent, now);
 }
 
 void upstream_pool::record_busy(core::boot_instant now)
@@ -208,7 +230,8 @@
     const auto oldest = oldest_unanswered();
     if (oldest)
         return now - std::max(*oldest, m_last_contact) > probe_timeout;
-    return now - m_last_contact > idle_probe_interval;
+    return now >= m_no_idle_probe_before &&
+           now - m_last_contact > idle_probe_interval;
 }
 
 std::size_t upstream_pool::busy_count() const
--- a/src/plantainward/pooling/upstream_pool.hpp
+++ b/src/plantainward/pooling/upstream_pool.hpp
@@ -3,11 +3,13 @@
 #include <plantainward/core/boot_clock.hpp>
 #include <plantainward/core/time.hpp>
 #include <plantainward/pooling/connection.hpp>
+#include <plantainward/pooling/connection_budget.hpp>
 #include <plantainward/routes/routing.hpp>
 
 #include <cstddef>
 #include <map>
 #include <optional>
+#include <string_view>
 
 namespace plantainward::pooling
 {
@@ -17,10 +19,12 @@
 class upstream_pool
 {
 public:
-    /// A database that is leaving gets new work for `leaving_grace`.
-    upstream_pool(routes::upstream registration, core::millis leaving_grace)
+    /// A database that is leaving gets new work for `leaving_grace`. `host` is
+    /// the name of this host.
+    upstream_pool(routes::upstream registration, core::millis leaving_grace,
+                  std::string_view host = {})
         : m_registration(std::move(registration)),
-          m_leaving_grace(leaving_grace)
+          m_leaving_grace(leaving_grace), m_budget(host, m_registration.id)
     {
     }
 
@@ -46,6 +50,16 @@
     void set_share(std::size_t share) { m_share = share; }
     std::size_t share() const { return m_share; }
 
+    /// Limits the first openings where a few hosts hold the connections.
+    void set_slow_start(bool enabled) { m_budget.set_slow_start(enabled); }
+
+    /// Delays the first probe of a host that only watches the database; a
+    /// doubted database is probed at once all the same.
+    void delay_first_probe(core::boot_instant now);
+
+    /// What the database's refusals allow this host to open.
+    const connection_budget& budget() const { return m_budget; }
+
     /// The connections by id.
     std::map<connection_id, connection>& connections() { return m_connections; }
     const std::map<connection_id, connection>& connections() const
@@ -71,11 +85,15 @@
 
     /// The database sent something; ends any suspicion and backoff.
     void record_contact(core::boot_instant now);
-    /// A connection was refused, reset or timed out; failures in a row delay
-    /// the next opening.
+    /// A connection was opened.
+    void record_opened(core::boot_instant now);
+    /// A connection was reset or timed out; failures in a row delay the next
+    /// opening.
     void record_failure(core::boot_instant now);
-    /// The database accepts no more connections at present.
-    void record_connection_limit(core::boot_instant now);
+    /// An opening that was requested at `sent` was refused, reset or timed out;
+    /// nothing is opened for a pause.
+    void record_refused_opening(core::boot_instant sent,
+                                core::boot_instant now);
     /// All slots of the database were taken; halves the number of statements
     /// that run there at a time and pauses before the next one.
     void record_busy(core::boot_instant now);
@@ -128,11 +146,14 @@
 
 private:
     std::optional<core::boot_instant> oldest_unanswered() const;
+    std::size_t opening_count() const;
 
     routes::upstream m_registration;
     core::millis m_leaving_grace;
     std::optional<core::boot_instant> m_leaving_since;
     std::size_t m_share{1};
+    connection_budget m_budget;
+    core::boot_instant m_no_idle_probe_before{};
     std::map<connection_id, connection> m_connections;
     core::boot_instant m_last_contact{};
     std::optional<core::boot_instant> m_first_failure;
