Proof that the routing is current, read by voters and passed on

Cause: with strict revocation a host that is cut off, suspended or restarted must not use a withdrawn key for longer than the limit.

Change: the voter that is first in order reads the changes of the table of routings without waiting once the newest proof is 0.7 s old; the others follow by rank. Heartbeats carry the age of the proof, answers to fetches its instant relative to the request. The pooler refuses statements under keys while the proof is older than the limit minus a margin of 100 ms. A new era of the table service drops proofs. Without the limit or without workspaces nothing is read, and messages carry one empty field.

Not run with this change yet: the other entry_tests.

--- a/src/plantainward/entry/entry_host.cpp
+++ b/src/plantainward/entry/entry_host.cpp
@@ -13,11 +13,19 @@
 // A claim for a leaving primary usually ends sooner.
 constexpr core::millis leaving_report_delay{2000};
 
+std::optional<core::millis> max_proof_age(const entry_options& options)
+{
+    if (!options.revocation_limit)
+        return std::nullopt;
+    return *options.revocation_limit - routing_proof::margin;
+}
+
 } // namespace
 
 entry_host::entry_host(entry_identity identity, entry_options options)
     : m_identity(std::move(identity)), m_options(options),
-      m_pooler({m_identity.failure_domain, m_options.leaving_grace}),
+      m_pooler({m_identity.failure_domain, m_options.leaving_grace,
+                max_proof_age(m_options)}),
       m_fleet(m_identity.name, m_identity.incarnation, m_fleet_options)
 {
 }
@@ -509,6 +517,7 @@
     out.pooling = m_pooler.tick(now);
     update_upstreams(now, out);
     renew_leases(now, out);
+    renew_routing_proof(now, out);
     rewrite_lost_records(now, out);
     change_voters(now, out);
     run_claims(now, out);
--- a/src/plantainward/entry/entry_host.hpp
+++ b/src/plantainward/entry/entry_host.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <plantainward/entry/routing_proof.hpp>
 #include <plantainward/entry/upstream_directory.hpp>
 #include <plantainward/fleet/connection_plan.hpp>
 #include <plantainward/fleet/fleet_view.hpp>
@@ -45,6 +46,12 @@
 {
 };
 
+/// Reads the changes of the table of routings without waiting for one; the end
+/// is passed to `entry_host::on_routing_read` as a probe.
+struct probe_routing_action
+{
+};
+
 /// Reads the list of databases, since a peer has a newer one.
 struct read_upstreams_action
 {
@@ -100,11 +107,13 @@
     std::string member;
 };
 
-using control_action = std::variant<
-    heartbeat_action, read_records_action, read_members_action,
-    read_routing_action, read_upstreams_action, write_record_action,
-    write_voters_action, request_status_action, demote_upstream_action,
-    promote_upstream_action, abort_promotion_action, remove_member_action>;
+using control_action =
+    std::variant<heartbeat_action, read_records_action, read_members_action,
+                 read_routing_action, probe_routing_action,
+                 read_upstreams_action, write_record_action,
+                 write_voters_action, request_status_action,
+                 demote_upstream_action, promote_upstream_action,
+                 abort_promotion_action, remove_member_action>;
 
 /// What the process has to do after one event.
 struct entry_actions
@@ -133,6 +142,20 @@
     core::boot_instant sent_at;
 };
 
+/// The end of a read of the table of routings.
+struct routing_read
+{
+    /// It answers a `probe_routing_action`.
+    bool is_probe{false};
+    /// The routing that it showed was passed to `on_routing` before, if it was
+    /// valid.
+    bool succeeded{false};
+    /// Instant before the call was sent.
+    core::boot_instant sent_at{};
+    /// Era of the table service that the answer showed.
+    std::uint64_t era{0};
+};
+
 using host_event_observer = std::function<void(const host_event&)>;
 
 /// Identity of a host process.
@@ -198,6 +221,12 @@
 
     /// Replaces the routing; ignores one that is not newer.
     entry_actions on_routing(routes::routing routing, core::boot_instant now);
+    /// Handles the end of a read of the routing; a successful one proves that
+    /// this host's routing was current when the call was sent.
+    entry_actions on_routing_read(const routing_read& read,
+                                  core::boot_instant now);
+    /// The table service is in this era; earlier proofs no longer count.
+    void on_store_era(std::uint64_t era);
     /// Replaces the whole list of databases; versions order its changes. The
     /// list was read from the table service no earlier than `read_at`, which is
     /// empty for a list of another host.
@@ -243,6 +272,18 @@
     std::optional<fleet::table_update>
     table_update_for(const fleet::table_versions& receiver_versions,
                      bool must_answer, core::boot_instant now) const;
+    /// Whether a fetch that arrived at this instant is answered now, so that
+    /// its sender gets a proof of its routing.
+    bool must_answer_with_proof(core::boot_instant received_at,
+                                core::boot_instant now) const;
+    /// Adds this host's proof of its routing, if it needs any, to the answer to
+    /// a fetch that arrived at an instant.
+    void attach_routing_proof(fleet::table_update& update,
+                              core::boot_instant received_at) const;
+    /// Takes the proof of an update that was requested at an instant, and whose
+    /// tables have been applied.
+    void take_routing_proof(const fleet::table_update& update,
+                            core::boot_instant requested_at);
     /// Applies the tables of an update that are newer than this host's.
     entry_actions on_table_update(const fleet::table_update& update,
                                   core::boot_instant now);
@@ -317,6 +358,13 @@
     void report_leaving_primaries(core::boot_instant now);
     void update_upstreams(core::boot_instant now, entry_actions& out);
     void renew_leases(core::boot_instant now, entry_actions& out);
+    bool needs_routing_proofs() const;
+    void add_routing_proof(std::uint64_t era, std::uint64_t version,
+                           core::boot_instant at);
+    void renew_routing_proof(core::boot_instant now, entry_actions& out);
+    void report_routing_proof(fleet::heartbeat& message,
+                              core::boot_instant now) const;
+    void take_routing_proof(const fleet::heartbeat& message);
     bool is_registered() const { return m_members.contains(m_identity.name); }
     void prove_by_table(succession::succession& service_succession,
                         std::uint64_t version, core::boot_instant at) const;
@@ -359,6 +407,7 @@
     entry_identity m_identity;
     entry_options m_options;
     pooling::pooler m_pooler;
+    routing_proof m_routing_proof;
     fleet::fleet_options m_fleet_options;
     fleet::fleet_view m_fleet;
     fleet::voter_change m_voter_change{fleet::voter_options{}};
--- a/src/plantainward/entry/entry_host_fleet.cpp
+++ b/src/plantainward/entry/entry_host_fleet.cpp
@@ -181,6 +181,7 @@
     message.knows_records = m_knows_records;
     message.routing_version = m_pooler.routing().version;
     message.upstreams_version = m_upstreams_version;
+    report_routing_proof(message, m_last_round);
     for (const auto& [service, status] : statuses)
     {
         const bool has_record =
@@ -225,6 +226,7 @@
     }
     if (!m_fleet.on_heartbeat(*heartbeat, now))
         return out;
+    take_routing_proof(*heartbeat);
     const auto& peer = m_fleet.peers().at(heartbeat->host);
     bool changed = false;
     for (const auto& [key, status] : heartbeat->services)
--- a/src/plantainward/fleet/heartbeat.hpp
+++ b/src/plantainward/fleet/heartbeat.hpp
@@ -65,6 +65,12 @@
     std::uint64_t routing_version{0};
     /// Version of the list of databases.
     std::uint64_t upstreams_version{0};
+    /// Age of the sender's proof that no routing is newer than
+    /// `routing_version`, when the heartbeat was made; negative: none.
+    std::int16_t routing_proof_age_ms{-1};
+    /// Era of the table service in which the proof was read; unused without
+    /// one.
+    std::uint64_t routing_proof_era{0};
     std::map<service_key, service_status> services;
 };
 
--- a/src/plantainward/fleet/table_update.hpp
+++ b/src/plantainward/fleet/table_update.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <plantainward/core/time.hpp>
 #include <plantainward/fleet/voter_set.hpp>
 #include <plantainward/routes/routing.hpp>
 
@@ -28,6 +29,19 @@
     }
 };
 
+/// A proof that the routing of an update is current, as sent to another host.
+struct sent_routing_proof
+{
+    /// Era of the table service in which the proof was read.
+    std::uint64_t era{0};
+    /// The proof's instant minus the arrival of the request. The receiver adds
+    /// it to the instant at which it sent the request, which is earlier than
+    /// the arrival.
+    core::millis after_request{0};
+
+    bool operator==(const sent_routing_proof&) const = default; // NOLINT
+};
+
 /// Tables that one host passes on to another, so that not every host of a large
 /// fleet has to read them from the table service.
 struct table_update
@@ -36,6 +50,8 @@
     table_versions versions;
     /// The sender follows the table service, and no peer has newer tables.
     bool is_current{false};
+    /// Empty when the sender has no proof or needs none.
+    std::optional<sent_routing_proof> routing_proof;
     /// Tables that are newer than the versions in the request; the others are
     /// empty.
     std::optional<routes::routing> routing;
--- a/src/plantainward/pooling/pooler.cpp
+++ b/src/plantainward/pooling/pooler.cpp
@@ -191,6 +191,7 @@
                                  const std::string& key_digest,
                                  core::boot_instant now)
 {
+    m_now = now;
     const auto* route = m_routing.find(database);
     if (route == nullptr)
         return open_result::unknown_database;
--- a/src/plantainward/pooling/pooler.hpp
+++ b/src/plantainward/pooling/pooler.hpp
@@ -114,6 +114,9 @@
     /// Time for which a leaving primary still gets new work, from the instant
     /// at which this host learns that it is leaving.
     core::millis leaving_grace{3000};
+    /// Statements under a key start only while the proof that the routing is
+    /// current is at most this old; empty: no proof is needed.
+    std::optional<core::millis> max_proof_age{};
 };
 
 /// Runs the statements of callers' sessions on pooled database connections.
@@ -142,6 +145,13 @@
     bool set_routing(routes::routing routing, core::boot_instant now);
     const routes::routing& routing() const { return m_routing; }
 
+    /// Sets the instant at or after which the table service had no newer
+    /// routing than this host's; empty: it is not known.
+    void set_routing_proof(std::optional<core::boot_instant> at)
+    {
+        m_routing_proof = at;
+    }
+
     /// Replaces the registered databases of all services. Connections to
     /// databases that are gone, restarted or moved are closed.
     actions set_upstreams(const std::vector<routes::upstream>& upstreams,
@@ -270,6 +280,7 @@
     const routes::workspace* holder_of_key(const session& session) const;
     bool needs_key(const session& session) const;
     bool has_valid_identity(const session& session) const;
+    bool lacks_proof(const session& session) const;
     void refuse_identity(session& session, const sql::statement& statement,
                          core::error_kind kind, const char* text);
     void end_withdrawn_work();
@@ -340,6 +351,7 @@
     /// The keys of waiting statements and open transactions have to be looked
     /// up in the routing again.
     bool m_must_recheck_keys{false};
+    std::optional<core::boot_instant> m_routing_proof;
     std::map<std::string, service_view> m_services;
     std::unordered_map<connection_id, connection_location> m_locations;
     std::unordered_map<session_id, session> m_sessions;
--- a/src/plantainward/pooling/pooler_identity.cpp
+++ b/src/plantainward/pooling/pooler_identity.cpp
@@ -63,11 +63,29 @@
                         "unknown key");
         return false;
     }
+    if (lacks_proof(session))
+    {
+        report_refusal(refusal_cause::routing_not_proved, session.workspace);
+        refuse_identity(session, statement, core::error_kind::overloaded,
+                        "this host can't prove that its configuration is "
+                        "current");
+        return false;
+    }
     const auto* holder = holder_of_key(session);
     session.workspace = holder == nullptr ? std::string() : holder->name;
     return true;
 }
 
+// Whether a key of the session could have been withdrawn without this host's
+// knowledge for longer than is permitted.
+bool pooler::lacks_proof(const session& session) const
+{
+    if (!m_options.max_proof_age || !needs_key(session))
+        return false;
+    return !m_routing_proof ||
+           m_now - *m_routing_proof > *m_options.max_proof_age;
+}
+
 // Answers a statement that was not given to a database. Its transaction is
 // rolled back; a commit ends it.
 void pooler::refuse_identity(session& session, const sql::statement& statement,
@@ -129,6 +147,9 @@
     refusal.cause = cause;
     refusal.workspace = workspace;
     refusal.routing_version = m_routing.version;
+    if (m_routing_proof)
+        refusal.proof_age =
+            std::chrono::duration_cast<core::millis>(m_now - *m_routing_proof);
     m_on_refusal(refusal);
 }
 
--- a/src/plantainward/relay/relay_gateway.cpp
+++ b/src/plantainward/relay/relay_gateway.cpp
@@ -166,8 +166,8 @@
 bool relay_gateway::try_answer(const held_fetch& fetch, core::boot_instant now)
 {
     const bool must_answer = now - fetch.received_at > max_hold_time;
-    const auto update =
-        m_callbacks.find_update(fetch.known_versions, must_answer);
+    const auto update = m_callbacks.find_update(fetch.known_versions,
+                                                fetch.received_at, must_answer);
     if (update)
         fetch.respond(frame_kind::table_update, encode(*update));
     return update.has_value();
--- a/src/plantainward/relay/relay_gateway.hpp
+++ b/src/plantainward/relay/relay_gateway.hpp
@@ -38,11 +38,13 @@
     /// No answer to a statement of this host will come; true when the statement
     /// may have run.
     std::function<void(pooling::session_id, pooling::operation_id, bool)> lost;
-    /// Returns the update for a host with these table versions. Empty when its
-    /// tables are current: the fetch is held, and this is called again on each
-    /// tick. With `must_answer` the result is not empty.
+    /// Returns the update for a host with these table versions, whose request
+    /// arrived at an instant. Empty when its tables are current: the fetch is
+    /// held, and this is called again on each tick. With `must_answer` the
+    /// result is not empty.
     std::function<std::optional<fleet::table_update>(
-        const fleet::table_versions&, bool must_answer)>
+        const fleet::table_versions&, core::boot_instant received_at,
+        bool must_answer)>
         find_update;
     /// A message was rejected as malformed, with the last error.
     std::function<void()> malformed;
--- a/src/plantainward/relay/update_follower.cpp
+++ b/src/plantainward/relay/update_follower.cpp
@@ -70,6 +70,7 @@
     if (sources.empty())
         return try_next_source();
     m_is_busy = true;
+    m_requested_at = core::boot_clock::now();
     m_client.call(sources[m_failed_sources % sources.size()],
                   peer::frame_kind::fetch_table_update,
                   encode(m_callbacks.known_versions()), fetch_timeout,
@@ -87,7 +88,7 @@
                             ? decode_update(answer.payload)
                             : std::nullopt;
     if (update && m_is_running)
-        m_callbacks.update_received(*update);
+        m_callbacks.update_received(*update, m_requested_at);
     if (!update || !update->is_current)
         return try_next_source();
     m_failed_sources = 0;
--- a/src/plantainward/relay/update_follower.hpp
+++ b/src/plantainward/relay/update_follower.hpp
@@ -21,8 +21,9 @@
     /// Returns the versions of the tables that this host has.
     std::function<fleet::table_versions()> known_versions;
     /// Receives the answer of a source: its tables that are newer than
-    /// `known_versions`.
-    std::function<void(const fleet::table_update&)> update_received;
+    /// `known_versions`; also the instant before the request was sent.
+    std::function<void(const fleet::table_update&, core::boot_instant)>
+        update_received;
     /// No source has current tables: they must be read from the table service.
     std::function<void()> no_current_source;
 };
@@ -54,6 +55,7 @@
     /// Number of sources that failed in a row.
     std::size_t m_failed_sources{0};
     core::boot_instant m_last_service_read{};
+    core::boot_instant m_requested_at{};
 };
 
 } // namespace plantainward::relay
--- a/src/plantainward/relay/update_message.cpp
+++ b/src/plantainward/relay/update_message.cpp
@@ -56,11 +56,17 @@
             versions.voters);
 }
 
+template <class Archive>
+void serialize(Archive& archive, sent_routing_proof& proof)
+{
+    archive(proof.era, proof.after_request);
+}
+
 template <class Archive>
 void serialize(Archive& archive, table_update& update)
 {
-    archive(update.versions, update.is_current, update.routing,
-            update.upstreams, update.hosts, update.voters);
+    archive(update.versions, update.is_current, update.routing_proof,
+            update.routing, update.upstreams, update.hosts, update.voters);
     // The version of a voter set is no part of its serialized value.
     if (update.voters)
         update.voters->version = update.versions.voters;
--- a/tests/relay/update_follower_tests.cpp
+++ b/tests/relay/update_follower_tests.cpp
@@ -27,6 +27,7 @@
     fleet::table_update update;
     update.versions.routing = version;
     update.is_current = true;
+    update.routing_proof = fleet::sent_routing_proof{3, millis(-250)};
     update.routing.emplace();
     update.routing->version = version;
     update.routing->routes["cards"].timeout = millis(700);
@@ -47,10 +48,13 @@
         };
         source_callbacks.find_update =
             [this](const fleet::table_versions& their_versions,
+                   core::boot_instant received_at,
                    bool must_answer) -> std::optional<fleet::table_update> {
             ++update_lookups;
             fleet::table_update update = sample_update(version);
             update.is_current = is_current;
+            update.routing_proof = fleet::sent_routing_proof{
+                3, std::chrono::floor<millis>(proved_at - received_at)};
             if (update.versions.is_newer_than(their_versions) || must_answer ||
                 !is_current)
                 return update;
@@ -65,7 +69,9 @@
             return fleet::table_versions{received_version, 0, 0};
         };
         follower_callbacks.update_received =
-            [this](const fleet::table_update& update) {
+            [this](const fleet::table_update& update,
+                   core::boot_instant requested_at) {
+                dated_at = requested_at + update.routing_proof->after_request;
                 received_version =
                     std::max(received_version, update.versions.routing);
             };
@@ -94,6 +100,8 @@
     std::uint64_t version{1};
     std::uint64_t received_version{0};
     bool is_current{true};
+    core::boot_instant proved_at{core::boot_clock::now()};
+    core::boot_instant dated_at{};
     int update_lookups{0};
     int service_reads{0};
 };
@@ -108,6 +116,7 @@
     CHECK(decoded.has_value());
     LONGS_EQUAL(9, decoded->versions.routing);
     CHECK(decoded->is_current);
+    CHECK(decoded->routing_proof == sample_update(9).routing_proof);
     LONGS_EQUAL(700, decoded->routing->routes.at("cards").timeout.count());
     LONGS_EQUAL(70, decoded->routing->services.at("ledger").max_connections);
     CHECK(decoded->upstreams == sample_update(9).upstreams);
@@ -129,6 +138,16 @@
     LONGS_EQUAL(2, fixture.received_version);
 }
 
+TEST(update_follower, a_proof_is_dated_by_the_sending_of_the_request)
+{
+    // A proof that is dated too late would let a host serve a withdrawn key.
+    follower_fixture fixture;
+    fixture.follower->start();
+    fixture.run(millis(300));
+    CHECK(fixture.dated_at <= fixture.proved_at);
+    CHECK(fixture.dated_at > fixture.proved_at - millis(100));
+}
+
 TEST(update_follower, a_held_fetch_delivers_nothing_while_the_tables_stay)
 {
     // In a large fleet hundreds of hosts have a held fetch at the same time.
--- a/tests/support/fleet_world.cpp
+++ b/tests/support/fleet_world.cpp
@@ -9,8 +9,10 @@
 {
 
 fleet_world::fleet_world(std::size_t hosts, std::uint64_t seed,
-                         std::size_t max_connections, std::size_t domains)
-    : m_max_connections(max_connections), m_domains(domains), m_random(seed)
+                         std::size_t max_connections, std::size_t domains,
+                         std::optional<entry::entry_options> options)
+    : m_max_connections(max_connections), m_domains(domains),
+      m_options(options), m_random(seed)
 {
     for (const std::string id : {"db-a", "db-b", "db-c"})
     {
@@ -167,12 +169,19 @@
     started.is_registered = true;
     started.deferred_steps.clear();
     started.host.emplace(
-        entry::entry_identity{name, domain_of(name), started.incarnation});
+        entry::entry_identity{name, domain_of(name), started.incarnation},
+        m_options.value_or(entry::entry_options{}));
     started.host->observe([this, name](const entry::host_event& event) {
         if (m_trace != nullptr)
             trace(name, event);
     });
-    run(name, started.host->on_routing(routing(), m_now));
+    if (m_options)
+    {
+        read_routing(name, false);
+        follow_voters(name, 0);
+    }
+    else
+        run(name, started.host->on_routing(routing(), m_now));
     run(name, started.host->on_upstreams(
                   upstreams(), version_of(m_upstreams_version), m_now, m_now));
     tick_host(name, started.incarnation);
@@ -265,7 +274,9 @@
 routes::routing fleet_world::routing() const
 {
     routes::routing table;
-    table.version = 1;
+    table.version = m_routing_version;
+    if (m_options)
+        add_workspaces(table);
     table.services[service_name].max_connections = m_max_connections;
     const auto add = [&](const char* name, routes::read_consistency rule,
                          int age) {
@@ -407,6 +418,13 @@
                 run(to, m_hosts.at(to).host->on_heartbeat(bytes, m_now));
             });
     }
+    else if (std::holds_alternative<entry::probe_routing_action>(action))
+        read_routing(name, true);
+    else if (std::holds_alternative<entry::read_routing_action>(action))
+    {
+        if (m_options)
+            read_routing(name, false);
+    }
     else if (std::holds_alternative<entry::read_records_action>(action))
         read_records(name);
     else if (std::holds_alternative<entry::abort_promotion_action>(action))
--- a/tests/support/fleet_world.hpp
+++ b/tests/support/fleet_world.hpp
@@ -14,6 +14,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace support
@@ -75,6 +76,17 @@
     std::size_t forwarded{0};
     /// When the last write was acknowledged.
     boot_instant last_write{};
+    /// Statements that ran under a key which had been withdrawn for longer
+    /// than `fleet_world::revocation_limit`, one line each.
+    std::vector<std::string> late_runs;
+    /// Number of statements that were served under a key.
+    std::size_t served_with_key{0};
+    /// Numbers of refusals under keys that were not withdrawn: because the
+    /// routing was not proved, and because the key was not known.
+    std::size_t unproved{0};
+    std::size_t unknown_keys{0};
+    /// Number of reads of the table of routings for a proof.
+    std::size_t routing_probes{0};
     /// Longest time between two acknowledged writes.
     millis longest_gap{0};
 };
@@ -94,9 +106,11 @@
 {
 public:
     /// `max_connections` is the connection limit of each database; the hosts
-    /// are spread over the failure domains.
+    /// are spread over the failure domains. The routing has workspaces if the
+    /// options of the hosts are given.
     fleet_world(std::size_t hosts, std::uint64_t seed,
-                std::size_t max_connections = 60, std::size_t domains = 1);
+                std::size_t max_connections = 60, std::size_t domains = 1,
+                std::optional<entry::entry_options> options = {});
     fleet_world(const fleet_world&) = delete;
     fleet_world& operator=(const fleet_world&) = delete;
 
@@ -172,6 +186,15 @@
     std::string claiming_host();
     const promotion_checker& promotions() const { return m_checker; }
 
+    /// A withdrawn key must not be used for longer than this.
+    static constexpr millis revocation_limit{5000};
+    /// Writes a routing with these keys; a key that was removed must not be
+    /// added again. The hosts that don't vote learn of it from voters.
+    void set_keys(const std::set<std::string>& keys);
+    /// Issues a read under a random key, withdrawn or not, through a random
+    /// host at this interval. Sessions are kept and used again.
+    void start_keyed_load(millis interval);
+
     /// Runs one statement through a host and returns its reply, which is empty
     /// after two seconds without one.
     sql::reply call(const std::string& host, const std::string& database,
@@ -247,6 +270,18 @@
         std::function<void(const sql::reply&)> done;
     };
 
+    /// A fetch of tables that a host has sent to a voter.
+    struct table_fetch
+    {
+        std::string sender;
+        std::string target;
+        fleet::table_versions versions;
+        boot_instant sent_at;
+        boot_instant received_at{};
+        std::size_t failures{0};
+        std::shared_ptr<bool> is_ended{std::make_shared<bool>(false)};
+    };
+
     using step = std::function<void()>;
     using promotion_answer = std::function<void(
         succession::promotion_outcome outcome, millis delay)>;
@@ -312,6 +347,17 @@
     void submit(const std::string& host, const std::string& database,
                 const std::string& text,
                 std::function<void(const sql::reply&)> done);
+    void announce_routing(const std::string& name, millis delay);
+    void read_routing(const std::string& name, bool is_probe);
+    void follow_voters(const std::string& name, std::size_t failures);
+    void hold_fetch(table_fetch fetch);
+    void end_fetch(const table_fetch& fetch, const fleet::table_update& update);
+    void issue_keyed_load(millis interval);
+    void submit_with_key(const std::string& host, const std::string& key,
+                         boot_instant sent_at);
+    void check_keyed_reply(const std::string& host, const std::string& key,
+                           boot_instant sent_at, const sql::reply& reply);
+    void add_workspaces(routes::routing& table) const;
     routes::routing routing() const;
     std::vector<routes::upstream> upstreams() const;
 
@@ -319,6 +365,14 @@
     boot_instant m_now{std::chrono::seconds(1000)};
     std::size_t m_max_connections;
     std::size_t m_domains;
+    std::optional<entry::entry_options> m_options;
+    std::uint64_t m_routing_version{1};
+    std::set<std::string> m_keys;
+    std::map<std::string, boot_instant> m_withdrawn_at;
+    /// Open sessions without a running statement, by host, incarnation and key.
+    std::map<std::tuple<std::string, std::uint64_t, std::string>,
+             std::vector<pooling::session_id>>
+        m_keyed_sessions;
     std::mt19937_64 m_random;
     std::multimap<boot_instant, step> m_steps;
     std::map<std::string, sim_host> m_hosts;
--- a/tests/support/fleet_world_platform.cpp
+++ b/tests/support/fleet_world_platform.cpp
@@ -155,8 +155,13 @@
     announce_upstreams();
     announce_members();
     for (const auto& [name, host] : m_hosts)
-        on_host(name, draw({link_delay, millis(500)}),
-                [this, name = name] { read_records(name); });
+        on_host(name, draw({link_delay, millis(500)}), [this, name = name] {
+            read_records(name);
+            if (!m_options)
+                return;
+            m_hosts.at(name).host->on_store_era(m_era);
+            read_routing(name, false);
+        });
 }
 
 entry::record_table fleet_world::read_record_table() const
