Quotas: tokens on the path of callers' statements

Cause: the quota library decides, but no statement asked it.

Change: the first statement of an operation of a workspace with a limit takes a token at the caller's host before it is placed. It waits while the token is requested, and is refused with quota_exceeded and the wait in milliseconds. A token bounds when the operation may start: the wait in queues ends with it, at the host that runs forwarded work too. The token of an operation that certainly did not run returns to the reserve. Owners are chosen from the voter set; an owner needs heartbeats in which a majority echoes this host's own ones, so that heartbeats which waited in the socket of a suspended host do not count. Frames for request and grant; settings quota_window_s, quota_over and quota_slack reach the ledger. Without workspaces, no token is requested.

The other entry tests have not been run to their end on this change yet.

--- a/src/plantainward/entry/entry_host.cpp
+++ b/src/plantainward/entry/entry_host.cpp
@@ -17,7 +17,8 @@
 
 entry_host::entry_host(entry_identity identity, entry_options options)
     : m_identity(std::move(identity)), m_options(options),
-      m_pooler({m_identity.failure_domain, m_options.leaving_grace}),
+      m_pooler({m_identity.failure_domain, m_options.leaving_grace,
+                m_identity.name, m_options.quota}),
       m_fleet(m_identity.name, m_identity.incarnation, m_fleet_options)
 {
 }
@@ -221,6 +222,11 @@
         m_members_known_at = now;
     m_members_version = std::max(m_members_version, version);
     m_members = members;
+    std::erase_if(m_known_domains, [&](const auto& entry) {
+        return !m_fleet.voters().has_voted(entry.first);
+    });
+    for (const auto& [name, member] : members)
+        m_known_domains[name] = member.failure_domain;
     if (read_at)
         m_members_read_at = std::max(m_members_read_at, *read_at);
     m_fleet.set_members(members, now);
@@ -507,6 +513,7 @@
 {
     entry_actions out;
     out.pooling = m_pooler.tick(now);
+    update_quotas(now);
     update_upstreams(now, out);
     renew_leases(now, out);
     rewrite_lost_records(now, out);
--- a/src/plantainward/entry/entry_host.hpp
+++ b/src/plantainward/entry/entry_host.hpp
@@ -152,6 +152,8 @@
     /// Time after which a withdrawn key is not used on any host; empty: a host
     /// that is cut off may use it longer.
     std::optional<core::millis> revocation_limit{};
+    /// The bound on the operations of workspaces with quotas.
+    quota::quota_bounds quota{};
 };
 
 /// Where a host gets changes of the routing, the databases and the hosts from.
@@ -334,6 +336,7 @@
                      const std::string& service) const;
     bool may_rewrite(const std::string& service, core::boot_instant now) const;
     void set_voters(const fleet::voter_set& voters);
+    void update_quotas(core::boot_instant now);
     void update_voters(const fleet::voter_row& row, core::boot_instant read_at,
                        core::boot_instant now);
     void change_voters(core::boot_instant now, entry_actions& out);
@@ -385,6 +388,9 @@
     fleet::plan_options m_plan_options;
     fleet::members m_members;
     std::uint64_t m_members_version{0};
+    /// Failure domains of hosts by name; also of voters that are not registered
+    /// at present, so that the owners of quotas stay the same meanwhile.
+    quota::voter_domains m_known_domains;
     bool m_reaches_tables{true};
     /// The whole list of hosts was read at this instant or later.
     core::boot_instant m_members_read_at{};
--- a/src/plantainward/entry/entry_host_voters.cpp
+++ b/src/plantainward/entry/entry_host_voters.cpp
@@ -58,6 +58,25 @@
     plan_connections();
 }
 
+// The owners of quotas are chosen among the voters. Owners that continue keep
+// their buckets.
+void entry_host::update_quotas(core::boot_instant now)
+{
+    if (!m_pooler.has_quotas() || m_fleet.voters().version == 0)
+        return;
+    quota::voter_domains domains;
+    for (const auto& name : m_fleet.voters().names)
+        if (const auto known = m_known_domains.find(name);
+            known != m_known_domains.end())
+            domains.insert(*known);
+    const bool has_all_domains =
+        domains.size() == m_fleet.voters().names.size();
+    m_pooler.set_quota_voters(m_fleet.voters().version, domains,
+                              has_all_domains, now);
+    if (const auto at = m_fleet.majority_instant(now))
+        m_pooler.set_quota_majority_at(*at, now);
+}
+
 void entry_host::update_voters(const fleet::voter_row& row,
                                core::boot_instant read_at,
                                core::boot_instant now)
--- a/src/plantainward/fleet/fleet_view.cpp
+++ b/src/plantainward/fleet/fleet_view.cpp
@@ -313,6 +313,27 @@
                     nth_latest(std::move(all), voter_count));
 }
 
+std::optional<core::boot_instant>
+fleet_view::majority_instant(core::boot_instant now) const
+{
+    if (!is_voter())
+        return std::nullopt;
+    const auto majority_of = [&](const std::set<std::string>& names) {
+        std::vector<core::boot_instant> instants;
+        if (names.contains(m_self))
+            instants.push_back(now);
+        for (const auto& [name, peer] : m_peers)
+            if (names.contains(name) &&
+                peer.confirmed_at != core::boot_instant{} &&
+                peer.last.voters_version == m_voters.version)
+                instants.push_back(peer.confirmed_at);
+        return nth_latest(std::move(instants), names.size() / 2 + 1);
+    };
+    const auto at = majority_of(m_voters.names);
+    return m_voters.is_joint() ? std::min(at, majority_of(m_voters.previous))
+                               : at;
+}
+
 std::uint64_t fleet_view::version_known_by(const std::string& member,
                                            const std::string& service) const
 {
--- a/src/plantainward/fleet/fleet_view.hpp
+++ b/src/plantainward/fleet/fleet_view.hpp
@@ -131,6 +131,13 @@
     quorum_instant(const std::string& service, std::uint64_t version,
                    core::boot_instant now) const;
 
+    /// The latest instant at or after which a majority of the voters, this host
+    /// included, had the same voter set; while a change of the set is not
+    /// complete, a majority of the previous voters too. Empty without such a
+    /// majority, and for a host that does not vote.
+    std::optional<core::boot_instant>
+    majority_instant(core::boot_instant now) const;
+
     /// Version of the newest record of a service that a member is known to
     /// have; 0: none.
     std::uint64_t version_known_by(const std::string& member,
--- a/src/plantainward/peer/frame.hpp
+++ b/src/plantainward/peer/frame.hpp
@@ -30,7 +30,10 @@
     /// Requests tables that are newer than those of the sender.
     fetch_table_update,
     /// The newer tables.
-    table_update
+    table_update,
+    /// Requests tokens of a workspace that the receiver may own.
+    request_tokens,
+    grant_tokens
 };
 
 /// One message on a link; an answer has the number of its request.
--- a/src/plantainward/pooling/action.hpp
+++ b/src/plantainward/pooling/action.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <plantainward/pooling/forwarded_work.hpp>
+#include <plantainward/quota/token_grant.hpp>
 #include <plantainward/routes/routing.hpp>
 #include <plantainward/sql/upstream_message.hpp>
 
@@ -73,10 +74,29 @@
     forwarded_reply reply;
 };
 
+/// Requests tokens of a workspace from a host that owns its limit; ends in
+/// `pooler::on_token_grant` or `on_token_request_lost`.
+struct request_tokens_action
+{
+    std::string host;
+    std::string workspace;
+    std::uint32_t count{0};
+    std::uint64_t request{0};
+};
+
+/// Answers another host's request for tokens.
+struct grant_tokens_action
+{
+    std::string host;
+    std::uint64_t request{0};
+    quota::token_grant grant;
+};
+
 /// One action that the pooler requests of its owner.
 using action =
     std::variant<open_action, send_action, close_action, reply_action,
-                 forward_action, end_forwarding_action, forwarded_reply_action>;
+                 forward_action, end_forwarding_action, forwarded_reply_action,
+                 request_tokens_action, grant_tokens_action>;
 /// Actions in the order in which they are to be carried out.
 using actions = std::vector<action>;
 
--- a/src/plantainward/pooling/forwarded_work.hpp
+++ b/src/plantainward/pooling/forwarded_work.hpp
@@ -50,6 +50,8 @@
     core::millis transaction_age{0};
     /// Time left until the statement's deadline.
     core::millis time_left{0};
+    /// Time left to start the statement under its quota; empty: unlimited.
+    std::optional<core::millis> start_within{};
     /// Log point of the session's last commit, and the time since it was
     /// acknowledged.
     std::optional<upstream::log_point> own_commit;
@@ -64,6 +66,8 @@
     bool at_replica{false};
     /// The statement did not run, and another host may be able to run it.
     bool try_elsewhere{false};
+    /// The statement was refused and certainly did not run at a database.
+    bool was_not_run{false};
 };
 
 } // namespace plantainward::pooling
--- a/src/plantainward/pooling/pooler.cpp
+++ b/src/plantainward/pooling/pooler.cpp
@@ -23,8 +23,32 @@
 // hosts that refused it; multiplied by its number of attempts.
 constexpr core::millis upstream_retry_interval{30};
 
+// Whether a statement that ends with this error was refused before it ran.
+// Other errors without an effect, such as conflicts, arise while it runs.
+bool is_refusal(core::error_kind kind)
+{
+    switch (kind)
+    {
+    case core::error_kind::unavailable:
+    case core::error_kind::overloaded:
+    case core::error_kind::draining:
+    case core::error_kind::too_stale:
+    case core::error_kind::connection_limit:
+    case core::error_kind::unauthenticated:
+        return true;
+    default:
+        return false;
+    }
+}
+
 } // namespace
 
+pooler::pooler(pooler_options options)
+    : m_options(std::move(options)),
+      m_ledger(m_options.host_name, m_options.quota), m_tokens(m_options.quota)
+{
+}
+
 void pooler::observe(decision_observer on_decision,
                      statement_observer on_statement)
 {
@@ -66,6 +90,7 @@
     m_routing = std::move(routing);
     for (const auto& [name, limits] : m_routing.services)
         m_services.try_emplace(name);
+    update_quota_limits();
     return true;
 }
 
@@ -200,6 +225,8 @@
     session.id = id;
     session.database = database;
     session.key_digest = key_digest;
+    if (const auto* workspace = m_routing.find_workspace(key_digest))
+        session.workspace = workspace->name;
     session.last_active = now;
     return open_result::opened;
 }
@@ -216,6 +243,8 @@
     {
         --m_work_count;
         std::erase(m_queue, id);
+        end_token_use(session, is_waiting_for_upstream(*session.current) &&
+                                   !session.current->may_have_run);
         // Closing the connection ends the statement, which nobody waits for.
         if (const auto used_connection = session.current->connection;
             used_connection != 0)
@@ -349,8 +378,22 @@
     new_work.wait_until =
         new_work.deadline - std::chrono::duration_cast<core::millis>(
                                 route.timeout * (1 - max_wait_share));
+    if (session.start_by)
+    {
+        new_work.start_by = session.start_by;
+        new_work.wait_until = std::min(new_work.wait_until, *session.start_by);
+    }
     session.current = std::move(new_work);
     ++m_work_count;
+    if (needs_token(session) && !obtain_token(session))
+        return;
+    start_work(session);
+}
+
+void pooler::start_work(session& session)
+{
+    const auto& service = session.current->route.service;
+    const bool in_transaction = session.transaction.has_value();
     if (in_transaction && session.transaction->forwarded)
         return forward(session, *session.transaction->forwarded);
     if (in_transaction && session.transaction->connection != 0)
@@ -360,8 +403,7 @@
     }
     if (try_start(session))
         return;
-    const bool has_delegates =
-        !m_services[route.service].plan.delegates.empty();
+    const bool has_delegates = !m_services[service].plan.delegates.empty();
     if (m_isolated && !has_delegates)
         return refuse_on_this_host(
             session, "this host can't prove which database is the primary");
@@ -376,7 +418,7 @@
 void pooler::reply(session& session, sql::reply answer)
 {
     if (session.origin)
-        return reply_to_host(session, {std::move(answer), false, false});
+        return reply_to_host(session, {std::move(answer), false, false, false});
     m_actions.emplace_back(reply_action{session.id, std::move(answer)});
 }
 
@@ -384,6 +426,9 @@
 {
     const auto& finished_work = *session.current;
     const bool at_replica = !finished_work.at_primary;
+    const bool was_not_run = answer.error && is_refusal(*answer.error) &&
+                             !finished_work.may_have_run;
+    end_token_use(session, was_not_run);
     // A forwarded statement is counted by the host that the caller is connected
     // to.
     if (m_on_statement && !session.origin)
@@ -401,7 +446,8 @@
     --m_work_count;
     std::erase(m_queue, session.id);
     if (session.origin)
-        return reply_to_host(session, {std::move(answer), at_replica, false});
+        return reply_to_host(
+            session, {std::move(answer), at_replica, false, was_not_run});
     reply(session, std::move(answer));
     while (!session.current && !session.queued.empty())
     {
@@ -453,6 +499,9 @@
             work.excluded_hosts.clear();
         }
     }
+    m_ledger.tick(now);
+    m_tokens.tick(now);
+    handle_tokens();
     resend_due_statements();
     drop_silent_connections();
     drop_lost_answers();
--- a/src/plantainward/pooling/pooler.hpp
+++ b/src/plantainward/pooling/pooler.hpp
@@ -5,6 +5,8 @@
 #include <plantainward/pooling/action.hpp>
 #include <plantainward/pooling/service_view.hpp>
 #include <plantainward/pooling/session.hpp>
+#include <plantainward/quota/token_ledger.hpp>
+#include <plantainward/quota/token_requester.hpp>
 
 #include <cstddef>
 #include <functional>
@@ -86,6 +88,9 @@
     /// Time for which a leaving primary still gets new work, from the instant
     /// at which this host learns that it is leaving.
     core::millis leaving_grace{3000};
+    /// Name of this host among the owners of quotas.
+    std::string host_name{};
+    quota::quota_bounds quota{};
 };
 
 /// Runs the statements of callers' sessions on pooled database connections.
@@ -97,7 +102,7 @@
 class pooler
 {
 public:
-    explicit pooler(pooler_options options) : m_options(std::move(options)) {}
+    explicit pooler(pooler_options options);
 
     /// Sets the receivers of decisions and of ended statements; either may be
     /// empty.
@@ -205,6 +210,35 @@
     actions on_forward_lost(session_id id, operation_id operation, bool sent,
                             core::boot_instant now);
 
+    /// Replaces the voters, some of which own the quotas. With
+    /// `has_all_domains` unset, the failure domain of a voter is not known,
+    /// and this host grants no tokens.
+    void set_quota_voters(std::uint64_t version,
+                          const quota::voter_domains& voters,
+                          bool has_all_domains, core::boot_instant now);
+    /// Notes that a majority of the voters had the same set at this instant or
+    /// later.
+    void set_quota_majority_at(core::boot_instant at, core::boot_instant now);
+    /// Whether any workspace has a quota.
+    bool has_quotas() const { return !m_quota_limits.empty(); }
+    /// Quota events of this host's callers, by workspace.
+    std::map<std::string, quota::quota_counts> quota_counts() const
+    {
+        return m_tokens.counts();
+    }
+
+    /// Another host requests tokens; answered by one `grant_tokens_action`.
+    actions on_token_request(const std::string& host, std::uint64_t request,
+                             const std::string& workspace, std::uint32_t count,
+                             core::boot_instant now);
+    /// The answer to a `request_tokens_action` has arrived.
+    actions on_token_grant(std::uint64_t request,
+                           const quota::token_grant& grant,
+                           core::boot_instant now);
+    /// No answer to a `request_tokens_action` will arrive.
+    actions on_token_request_lost(std::uint64_t request,
+                                  core::boot_instant now);
+
     /// Ends statements whose time is up and idle transactions, probes silent
     /// databases, and serves the queue.
     actions tick(core::boot_instant now);
@@ -224,6 +258,7 @@
     void run_statement(session& session, sql::statement statement);
     void run_work(session& session, sql::statement statement,
                   const routes::route& route, core::millis time_left);
+    void start_work(session& session);
     void begin(session& session, const sql::statement& statement);
     void roll_back(session& session);
     void reply(session& session, sql::reply answer);
@@ -248,6 +283,16 @@
     void refuse_on_this_host(session& session, const std::string& text);
     void erase_ended_remote_sessions();
 
+    // Quotas.
+    void update_quota_limits();
+    void update_quota_owners();
+    bool needs_token(const session& session) const;
+    bool obtain_token(session& session);
+    void use_token(session& session, const quota::token& token);
+    void handle_tokens();
+    void settle_token_wait(const quota::settled_wait& wait);
+    void end_token_use(const session& session, bool was_not_run);
+
     // The queue.
     void enqueue(session& session);
     std::string unplaced_reason(const work& work);
@@ -293,6 +338,10 @@
     decision_observer m_on_decision;
     statement_observer m_on_statement;
     routes::routing m_routing;
+    quota::limits_by_workspace m_quota_limits;
+    quota::voter_domains m_quota_voters;
+    quota::token_ledger m_ledger;
+    quota::token_requester m_tokens;
     std::map<std::string, service_view> m_services;
     std::unordered_map<connection_id, connection_location> m_locations;
     std::unordered_map<session_id, session> m_sessions;
--- a/src/plantainward/pooling/pooler_connections.cpp
+++ b/src/plantainward/pooling/pooler_connections.cpp
@@ -169,6 +169,7 @@
                     work.forwarded ? work.forwarded->host : std::string(),
                     std::string(detail));
     work.connection = 0;
+    work.may_have_run = work.may_have_run || sent;
     end_forwarding(session);
     if (session.transaction)
         session.transaction->connection = 0;
--- a/src/plantainward/pooling/pooler_forwarding.cpp
+++ b/src/plantainward/pooling/pooler_forwarding.cpp
@@ -58,6 +58,9 @@
         result.transaction_age = age_of(now, session.transaction->began_at);
     }
     result.time_left = std::max(core::millis(0), -age_of(now, work.deadline));
+    if (work.start_by)
+        result.start_within =
+            std::max(core::millis(0), -age_of(now, *work.start_by));
     if (session.own_commit)
     {
         result.own_commit = session.own_commit->point;
@@ -182,6 +185,7 @@
     work.at_primary = !answer.at_replica;
     if (answer.reply.error)
     {
+        work.may_have_run = work.may_have_run || !answer.was_not_run;
         // The other host has already ended the transaction.
         if (session.transaction)
             session.transaction->forwarded.reset();
@@ -261,6 +265,9 @@
     }
     session.last_active = now;
     session.workspace = std::move(work.workspace);
+    session.start_by.reset();
+    if (work.start_within)
+        session.start_by = now + *work.start_within;
     session.values = std::move(work.values);
     if (work.prepared)
         session.prepared[work.statement.name] = *work.prepared;
--- a/src/plantainward/pooling/pooler_queue.cpp
+++ b/src/plantainward/pooling/pooler_queue.cpp
@@ -86,7 +86,8 @@
 {
     auto& work = *session.current;
     auto& service = m_services[work.route.service];
-    if (work.attempts >= max_attempts)
+    if (work.attempts >= max_attempts ||
+        (work.start_by && m_now >= *work.start_by))
         return false;
     if (!session.origin && !service.plan.delegates.empty())
         return try_forward(session, service.plan.delegates);
@@ -167,7 +168,9 @@
         if (is_waiting_for_upstream(*session.current))
         {
             refuse(session, core::error_kind::overloaded,
-                   "no database could run it in time");
+                   session.current->awaits_token
+                       ? "no owner of the workspace's quota answered in time"
+                       : "no database could run it in time");
             continue;
         }
         if (session.current->forwarded)
--- a/src/plantainward/pooling/session.hpp
+++ b/src/plantainward/pooling/session.hpp
@@ -3,6 +3,7 @@
 #include <plantainward/freshness/watermark_log.hpp>
 #include <plantainward/pooling/connection.hpp>
 #include <plantainward/pooling/forwarded_work.hpp>
+#include <plantainward/quota/token_requester.hpp>
 #include <plantainward/routes/routing.hpp>
 #include <plantainward/sql/caller_message.hpp>
 
@@ -72,6 +73,14 @@
     std::optional<upstream::log_point> after;
     /// It runs at the primary under a valid lease.
     bool at_primary{false};
+    /// It waits for a token of its workspace's quota.
+    bool awaits_token{false};
+    /// Token with which its operation starts; empty without a quota.
+    std::optional<quota::token> token;
+    /// It must not start later, since its token counts only until then.
+    std::optional<core::boot_instant> start_by;
+    /// It was sent to a database, and the answer was lost.
+    bool may_have_run{false};
 };
 
 /// Whether the statement waits in the queue for a database.
@@ -115,6 +124,8 @@
     /// Host that forwarded the session's statements, and the operation there;
     /// empty for sessions of this host's own callers.
     std::optional<forwarding> origin;
+    /// Until when the running statement of another host's session must start.
+    std::optional<core::boot_instant> start_by;
 
     sql::transaction_state state() const
     {
--- a/src/plantainward/relay/relay_gateway.cpp
+++ b/src/plantainward/relay/relay_gateway.cpp
@@ -28,6 +28,10 @@
 // Limit of the call that reports the end of an operation.
 constexpr core::millis end_operation_timeout{1000};
 
+// Limit of a request for tokens. The requesting side stops waiting sooner, but
+// uses tokens that arrive until then.
+constexpr core::millis token_request_timeout{1000};
+
 } // namespace
 
 relay_gateway::relay_gateway(boost::asio::io_context& io,
@@ -112,6 +116,63 @@
     reply(action);
 }
 
+void relay_gateway::request_tokens(const core::address& address,
+                                   const pooling::request_tokens_action& action)
+{
+    const auto request = action.request;
+    m_client.call(
+        address, frame_kind::request_tokens,
+        encode(token_request_message{m_origin, request, action.workspace,
+                                     action.count}),
+        token_request_timeout,
+        [this, request](peer::call_outcome end, const peer::frame& answer) {
+            if (end != peer::call_outcome::answered)
+                return m_callbacks.token_request_lost(request);
+            const auto grant = answer.kind == frame_kind::grant_tokens
+                                   ? decode_grant(answer.payload)
+                                   : std::nullopt;
+            if (grant)
+                return m_callbacks.tokens_granted(request, *grant);
+            m_callbacks.malformed();
+            m_callbacks.token_request_lost(request);
+        });
+}
+
+void relay_gateway::grant(const pooling::grant_tokens_action& action)
+{
+    const auto pending = m_pending_grants.find({action.host, action.request});
+    if (pending == m_pending_grants.end())
+        return;
+    const auto respond = std::move(pending->second);
+    m_pending_grants.erase(pending);
+    respond(frame_kind::grant_tokens, encode(action.grant));
+}
+
+void relay_gateway::refuse_tokens(const std::string& origin,
+                                  std::uint64_t request)
+{
+    grant({origin,
+           request,
+           {quota::token_answer::no_majority, 0, core::millis(0)}});
+}
+
+void relay_gateway::on_token_request(const std::string& bytes,
+                                     const peer::frame_responder& respond)
+{
+    const auto message = decode_token_request(bytes);
+    if (!message)
+    {
+        m_callbacks.malformed();
+        return respond(frame_kind::refused, {});
+    }
+    const auto [position, is_new] = m_pending_grants.try_emplace(
+        {message->origin, message->request}, respond);
+    if (!is_new)
+        return respond(frame_kind::refused, {});
+    m_callbacks.tokens_requested(message->origin, message->request,
+                                 message->workspace, message->count);
+}
+
 void relay_gateway::on_frame(frame_kind kind, const std::string& bytes,
                              const peer::frame_responder& respond)
 {
@@ -119,6 +180,8 @@
         return on_statement(bytes, respond);
     if (kind == frame_kind::fetch_table_update)
         return on_fetch(bytes, respond);
+    if (kind == frame_kind::request_tokens)
+        return on_token_request(bytes, respond);
     const auto message =
         kind == frame_kind::end_operation ? decode_end(bytes) : std::nullopt;
     if (!message)
--- a/src/plantainward/relay/relay_gateway.hpp
+++ b/src/plantainward/relay/relay_gateway.hpp
@@ -6,6 +6,7 @@
 #include <plantainward/peer/peer_server.hpp>
 #include <plantainward/pooling/action.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -38,6 +39,16 @@
     /// No answer to a statement of this host will come; true when the statement
     /// may have run.
     std::function<void(pooling::session_id, pooling::operation_id, bool)> lost;
+    /// Another host requests tokens of a workspace; answered by
+    /// `relay_gateway::grant` or `refuse_tokens`.
+    std::function<void(const std::string&, std::uint64_t request,
+                       const std::string& workspace, std::uint32_t count)>
+        tokens_requested;
+    /// Another host has answered a request for tokens of this host.
+    std::function<void(std::uint64_t request, const quota::token_grant&)>
+        tokens_granted;
+    /// No answer to a request for tokens of this host will come.
+    std::function<void(std::uint64_t request)> token_request_lost;
     /// Returns the update for a host with these table versions. Empty when its
     /// tables are current: the fetch is held, and this is called again on each
     /// tick. With `must_answer` the result is not empty.
@@ -77,6 +88,17 @@
     /// run it.
     void refuse(const std::string& origin, pooling::operation_id operation);
 
+    /// Requests tokens from the host at an address; ends in one call of
+    /// `tokens_granted` or `token_request_lost`.
+    void request_tokens(const core::address& address,
+                        const pooling::request_tokens_action& action);
+
+    /// Answers another host's request for tokens.
+    void grant(const pooling::grant_tokens_action& action);
+
+    /// Answers another host's request for tokens while this host is starting.
+    void refuse_tokens(const std::string& origin, std::uint64_t request);
+
     /// Answers held fetches for which there is an update or whose time is up.
     void tick(core::boot_instant now);
 
@@ -93,6 +115,8 @@
                   const peer::frame_responder& respond);
     void on_statement(const std::string& bytes,
                       const peer::frame_responder& respond);
+    void on_token_request(const std::string& bytes,
+                          const peer::frame_responder& respond);
     void on_fetch(const std::string& bytes,
                   const peer::frame_responder& respond);
     bool try_answer(const held_fetch& fetch, core::boot_instant now);
@@ -105,6 +129,9 @@
     std::map<std::pair<std::string, pooling::operation_id>,
              peer::frame_responder>
         m_pending_replies;
+    /// Requests for tokens that are not answered, by origin and number.
+    std::map<std::pair<std::string, std::uint64_t>, peer::frame_responder>
+        m_pending_grants;
 };
 
 } // namespace plantainward::relay
--- a/src/plantainward/relay/relay_message.cpp
+++ b/src/plantainward/relay/relay_message.cpp
@@ -42,20 +42,39 @@
 {
     archive(work.statement, work.route, work.workspace, work.values,
             work.prepared, work.part, work.read_only, work.transaction_age,
-            work.time_left, work.own_commit, work.own_commit_age);
+            work.time_left, work.start_within, work.own_commit,
+            work.own_commit_age);
 }
 
 template <class Archive>
 void serialize(Archive& archive, forwarded_reply& reply)
 {
-    archive(reply.reply, reply.at_replica, reply.try_elsewhere);
+    archive(reply.reply, reply.at_replica, reply.try_elsewhere,
+            reply.was_not_run);
 }
 
 } // namespace plantainward::pooling
 
+namespace plantainward::quota
+{
+
+template <class Archive>
+void serialize(Archive& archive, token_grant& grant)
+{
+    archive(grant.answer, grant.count, grant.retry_after);
+}
+
+} // namespace plantainward::quota
+
 namespace plantainward::relay
 {
 
+template <class Archive>
+void serialize(Archive& archive, token_request_message& message)
+{
+    archive(message.origin, message.request, message.workspace, message.count);
+}
+
 template <class Archive>
 void serialize(Archive& archive, statement_message& message)
 {
@@ -91,6 +110,28 @@
     return decode_with_digest<end_message>(bytes, "end of an operation");
 }
 
+std::string encode(const token_request_message& message)
+{
+    return encode_with_digest(message);
+}
+
+std::optional<token_request_message>
+decode_token_request(std::string_view bytes)
+{
+    return decode_with_digest<token_request_message>(bytes,
+                                                     "request for tokens");
+}
+
+std::string encode(const quota::token_grant& grant)
+{
+    return encode_with_digest(grant);
+}
+
+std::optional<quota::token_grant> decode_grant(std::string_view bytes)
+{
+    return decode_with_digest<quota::token_grant>(bytes, "grant of tokens");
+}
+
 std::string encode(const pooling::forwarded_reply& reply)
 {
     return encode_with_digest(reply);
--- a/src/plantainward/relay/relay_message.hpp
+++ b/src/plantainward/relay/relay_message.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <plantainward/pooling/forwarded_work.hpp>
+#include <plantainward/quota/token_grant.hpp>
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -25,6 +27,16 @@
     pooling::operation_id operation{0};
 };
 
+/// A host requests tokens of a workspace.
+struct token_request_message
+{
+    /// Name of the sending process.
+    std::string origin;
+    std::uint64_t request{0};
+    std::string workspace;
+    std::uint32_t count{0};
+};
+
 // An encoded message starts with its digest. Decoders give an empty optional
 // with a reason when the bytes are damaged.
 
@@ -34,6 +46,13 @@
 std::string encode(const end_message& message);
 std::optional<end_message> decode_end(std::string_view bytes);
 
+std::string encode(const token_request_message& message);
+std::optional<token_request_message>
+decode_token_request(std::string_view bytes);
+
+std::string encode(const quota::token_grant& grant);
+std::optional<quota::token_grant> decode_grant(std::string_view bytes);
+
 std::string encode(const pooling::forwarded_reply& reply);
 std::optional<pooling::forwarded_reply> decode_reply(std::string_view bytes);
 
--- a/tests/fleet/fleet_view_tests.cpp
+++ b/tests/fleet/fleet_view_tests.cpp
@@ -289,3 +289,45 @@
     CHECK_FALSE(restarted_view.proof_instant(service, 5, now + millis(700))
                     .has_value());
 }
+
+// Guards against a suspended host that takes heartbeats which waited in its
+// socket for a present majority.
+TEST(fleet_view, a_majority_is_dated_by_the_heartbeats_that_voters_echo)
+{
+    view.start_round(now);
+    const auto later = now + millis(5000);
+    CHECK(view.on_heartbeat(heartbeat_of("a", 1, 1, 5), later));
+    CHECK_FALSE(view.majority_instant(later).has_value());
+    CHECK(view.on_heartbeat(heartbeat_of("b", 1, 1, 5), later));
+    CHECK(view.majority_instant(later) == now);
+}
+
+// Guards against owners of quotas under two voter sets at once.
+TEST(fleet_view, voters_with_another_set_do_not_count_for_a_majority)
+{
+    view.start_round(now);
+    view.on_heartbeat(heartbeat_of("a", 1, 1, 5), now);
+    view.on_heartbeat(heartbeat_of("b", 1, 1, 5), now);
+    CHECK(view.majority_instant(now).has_value());
+    auto changed = heartbeat_of("b", 2, 1, 5);
+    changed.voters_version = 2;
+    view.on_heartbeat(changed, now);
+    CHECK_FALSE(view.majority_instant(now).has_value());
+}
+
+TEST(fleet_view, a_change_of_the_voters_needs_majorities_of_both_sets)
+{
+    view.set_voters({2, {"me", "a", "c"}, {"me", "a", "b", "d"}});
+    view.start_round(now);
+    for (const char* name : {"a", "c"})
+    {
+        auto message = heartbeat_of(name, 1, 1, 5);
+        message.voters_version = 2;
+        view.on_heartbeat(message, now);
+    }
+    CHECK_FALSE(view.majority_instant(now).has_value());
+    auto message = heartbeat_of("b", 1, 1, 5);
+    message.voters_version = 2;
+    view.on_heartbeat(message, now);
+    CHECK(view.majority_instant(now).has_value());
+}
--- a/tests/relay/relay_gateway_tests.cpp
+++ b/tests/relay/relay_gateway_tests.cpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <utility>
 
 #include <CppUTest/TestHarness.h>
 #include <boost/asio/ip/tcp.hpp>
@@ -36,6 +37,7 @@
     work.time_left = millis(300);
     work.own_commit = upstream::log_point{3, 99};
     work.own_commit_age = millis(70);
+    work.start_within = millis(900);
     return work;
 }
 
@@ -91,6 +93,30 @@
             ended = operation;
             io.stop();
         };
+        at_holder.tokens_requested = [this](const std::string& host,
+                                            std::uint64_t request,
+                                            const std::string& workspace,
+                                            std::uint32_t count) {
+            origin = host;
+            requested = {workspace, count};
+            if (holder_answers)
+                holder->grant(
+                    {host,
+                     request,
+                     {quota::token_answer::granted, count - 1, millis(25)}});
+            else
+                holder->refuse_tokens(host, request);
+        };
+        at_front.tokens_granted = [this](std::uint64_t request,
+                                         const quota::token_grant& answered) {
+            granted_request = request;
+            grant = answered;
+            io.stop();
+        };
+        at_front.token_request_lost = [this](std::uint64_t request) {
+            lost_request = request;
+            io.stop();
+        };
         front =
             relay_gateway::listen(io, {"127.0.0.1", free_port(io)}, at_front);
         holder = relay_gateway::listen(io, holder_address, at_holder);
@@ -108,6 +134,10 @@
     std::optional<pooling::forwarded_work> received_work;
     std::optional<pooling::forwarded_reply> answer;
     std::optional<bool> lost;
+    std::pair<std::string, std::uint32_t> requested;
+    std::optional<std::uint64_t> granted_request;
+    std::optional<quota::token_grant> grant;
+    std::optional<std::uint64_t> lost_request;
     std::optional<pooling::operation_id> ended;
 };
 
@@ -131,6 +161,7 @@
     CHECK(work.part == pooling::transaction_part::first);
     CHECK((work.own_commit == upstream::log_point{3, 99}));
     LONGS_EQUAL(70, work.own_commit_age.count());
+    CHECK(work.start_within == millis(900));
 }
 
 TEST(relay_message, a_damaged_message_is_rejected)
@@ -146,6 +177,8 @@
         CHECK_FALSE(decode_statement(bytes).has_value());
         CHECK_FALSE(decode_reply(bytes).has_value());
         CHECK_FALSE(decode_end(bytes).has_value());
+        CHECK_FALSE(decode_token_request(bytes).has_value());
+        CHECK_FALSE(decode_grant(bytes).has_value());
     }
     CHECK_FALSE(decode_statement("").has_value());
     CHECK_FALSE(decode_reply("x").has_value());
@@ -204,3 +237,36 @@
     pair.run();
     CHECK(pair.ended == 9U);
 }
+
+TEST(relay_gateway, a_request_for_tokens_is_answered)
+{
+    gateway_pair pair;
+    pair.front->request_tokens(pair.holder_address, {"holder", "shop", 7, 5});
+    pair.run();
+    STRCMP_EQUAL("front/7", pair.origin.c_str());
+    STRCMP_EQUAL("shop", pair.requested.first.c_str());
+    LONGS_EQUAL(7, pair.requested.second);
+    LONGS_EQUAL(5, *pair.granted_request);
+    CHECK(pair.grant->answer == quota::token_answer::granted);
+    LONGS_EQUAL(6, pair.grant->count);
+    LONGS_EQUAL(25, pair.grant->retry_after.count());
+}
+
+TEST(relay_gateway, a_starting_host_grants_no_tokens)
+{
+    gateway_pair pair;
+    pair.holder_answers = false;
+    pair.front->request_tokens(pair.holder_address, {"holder", "shop", 7, 5});
+    pair.run();
+    CHECK(pair.grant->answer == quota::token_answer::no_majority);
+}
+
+// Guards against operations that wait for an owner that is gone.
+TEST(relay_gateway, a_request_for_tokens_to_a_lost_host_ends)
+{
+    gateway_pair pair;
+    const core::address nobody{"127.0.0.1", free_port(pair.io)};
+    pair.front->request_tokens(nobody, {"holder", "shop", 7, 5});
+    pair.run();
+    LONGS_EQUAL(5, *pair.lost_request);
+}
--- a/tests/support/fleet_world.cpp
+++ b/tests/support/fleet_world.cpp
@@ -265,7 +265,7 @@
 routes::routing fleet_world::routing() const
 {
     routes::routing table;
-    table.version = 1;
+    table.version = m_routing_version;
     table.services[service_name].max_connections = m_max_connections;
     const auto add = [&](const char* name, routes::read_consistency rule,
                          int age) {
@@ -280,9 +280,24 @@
     add("latest", routes::read_consistency::latest, 0);
     add("bounded", routes::read_consistency::bounded_age, 1500);
     add("session", routes::read_consistency::session, 2500);
+    if (m_quota)
+    {
+        table.has_workspaces = true;
+        table.workspaces[workspace_name] = {workspace_name, 0, m_quota};
+        table.workspace_by_key_digest[key_digest] = workspace_name;
+    }
     return table;
 }
 
+void fleet_world::set_quota(const routes::quota_limit& limit)
+{
+    m_quota = limit;
+    ++m_routing_version;
+    for (auto& [name, informed] : m_hosts)
+        if (informed.host)
+            run(name, informed.host->on_routing(routing(), m_now));
+}
+
 std::vector<routes::upstream> fleet_world::upstreams() const
 {
     std::vector<routes::upstream> all;
@@ -319,6 +334,8 @@
                 continue;
             const auto done = std::move(found->second.done);
             m_calls.erase(found);
+            if (replying->reply.error == core::error_kind::quota_exceeded)
+                ++m_history.over_quota;
             done(replying->reply);
         }
         else if (const auto* forwarding =
@@ -330,9 +347,47 @@
         else if (const auto* forwarded_reply =
                      std::get_if<pooling::forwarded_reply_action>(&action))
             reply_forwarded(name, *forwarded_reply);
+        else if (const auto* request =
+                     std::get_if<pooling::request_tokens_action>(&action))
+            request_tokens(name, *request);
+        else if (const auto* grant =
+                     std::get_if<pooling::grant_tokens_action>(&action))
+            grant_tokens(name, *grant);
     }
 }
 
+void fleet_world::request_tokens(const std::string& name,
+                                 const pooling::request_tokens_action& action)
+{
+    ++m_history.token_requests;
+    if (!is_running(action.host) || is_cut(name, action.host))
+        return;
+    const auto origin =
+        name + "/" + std::to_string(m_hosts.at(name).incarnation);
+    on_host(action.host, link_delay, [this, action, origin] {
+        auto& pooler = m_hosts.at(action.host).host->pooler();
+        run(action.host,
+            pooler.on_token_request(origin, action.request, action.workspace,
+                                    action.count, m_now));
+    });
+}
+
+// A grant to an earlier process of the host is lost, as on a real link.
+void fleet_world::grant_tokens(const std::string& name,
+                               const pooling::grant_tokens_action& action)
+{
+    const auto separator = action.host.find('/');
+    const auto to = action.host.substr(0, separator);
+    const auto incarnation = action.host.substr(separator + 1);
+    if (is_cut(name, to) ||
+        std::to_string(m_hosts.at(to).incarnation) != incarnation)
+        return;
+    on_host(to, link_delay, [this, to, action] {
+        run(to, m_hosts.at(to).host->pooler().on_token_grant(
+                    action.request, action.grant, m_now));
+    });
+}
+
 // The origin of a forwarded statement includes the incarnation, so that the
 // receiver tells processes of a host apart, as on a real link.
 void fleet_world::forward(const std::string& name,
@@ -472,7 +527,7 @@
 {
     const auto id = ++m_last_session;
     auto& pooler = m_hosts.at(host).host->pooler();
-    if (pooler.open_session(id, database, {}, m_now) !=
+    if (pooler.open_session(id, database, m_quota ? key_digest : "", m_now) !=
         pooling::open_result::opened)
         return;
     m_calls[{host, id}].done = std::move(done);
--- a/tests/support/fleet_world.hpp
+++ b/tests/support/fleet_world.hpp
@@ -73,6 +73,12 @@
     std::size_t removed_members{0};
     /// Number of statements that one host forwarded to another.
     std::size_t forwarded{0};
+    /// Number of refusals because of a quota.
+    std::size_t over_quota{0};
+    /// Number of requests for tokens of a quota.
+    std::size_t token_requests{0};
+    /// When a database first ran each statement, by its id.
+    std::map<std::string, boot_instant> started;
     /// When the last write was acknowledged.
     boot_instant last_write{};
     /// Longest time between two acknowledged writes.
@@ -105,6 +111,9 @@
     void trace_to(std::ostream& out) { m_trace = &out; }
     void run_for(millis time);
 
+    /// Limits all callers together, from now on.
+    void set_quota(const routes::quota_limit& limit);
+
     /// Issues a write or a read through a random host at this interval.
     void start_load(millis interval);
     void stop_load() { m_load = false; }
@@ -271,6 +280,10 @@
     void run(const std::string& name, const entry::control_action& action);
     void forward(const std::string& name,
                  const pooling::forward_action& action);
+    void request_tokens(const std::string& name,
+                        const pooling::request_tokens_action& action);
+    void grant_tokens(const std::string& name,
+                      const pooling::grant_tokens_action& action);
     void end_forwarding(const std::string& name,
                         const pooling::end_forwarding_action& action);
     void reply_forwarded(const std::string& name,
@@ -359,6 +372,8 @@
     std::uint64_t m_last_value{0};
     fleet_history m_history;
     std::map<std::string, std::size_t> m_heartbeats;
+    std::optional<routes::quota_limit> m_quota;
+    std::uint64_t m_routing_version{1};
 };
 
 } // namespace support
--- a/tests/support/fleet_world_databases.cpp
+++ b/tests/support/fleet_world_databases.cpp
@@ -60,6 +60,9 @@
         return;
     check_drain(name, found->second, command);
     auto answer = execute(found->second, database, command);
+    if (!command.id.empty() &&
+        (!answer.error || !sql::is_not_run(*answer.error)))
+        m_history.started.try_emplace(command.id, m_now);
     on_host(name, link_delay, [this, name, id, answer] {
         const auto open = m_connections.find({name, id});
         if (open == m_connections.end() || is_cut(name, open->second.database))
--- a/tests/support/fleet_world_limits.hpp
+++ b/tests/support/fleet_world_limits.hpp
@@ -9,6 +9,8 @@
 inline constexpr const char* service_name = "ledger";
 inline constexpr const char* store_name = "store";
 inline constexpr const char* platform_name = "platform";
+inline constexpr const char* workspace_name = "shop";
+inline constexpr const char* key_digest = "digest of the callers' key";
 
 inline constexpr millis link_delay{1};
 inline constexpr millis store_delay{4};
