Choose the database of a read by a balancer where few hosts hold connections

Cause: where a service's connections are divided among a few holders, place sees only this host's own statements and forgets failures at once; a database that has just joined gets reads as if it had always been there.

Change: pooling/balancer chooses by observed time, share of successes, own statements in flight and the average of other holders' reports, with a slow start. database_load and load_reports hold the inputs. connection_plan gets is_shared; services whose hosts all hold connections are placed as before. Nothing fills the reports yet: without them the rule is that of the own counts.

Rules that add up reports move all holders to one database and back, since a report is older than a read takes.

--- a/src/plantainward/entry/entry_host.cpp
+++ b/src/plantainward/entry/entry_host.cpp
@@ -254,7 +254,8 @@
             service,
             {holders.share_of(m_identity.name),
              holders.delegates_of(m_identity.name, m_identity.failure_domain),
-             holders.fallback_delegates_of(m_identity.name, m_members)});
+             holders.fallback_delegates_of(m_identity.name, m_members),
+             !holders.all_hosts_hold});
         needs_proofs = needs_proofs || watches(service);
     }
     m_fleet.set_needs_proofs(needs_proofs);
--- a/src/plantainward/pooling/placement.cpp
+++ b/src/plantainward/pooling/placement.cpp
@@ -1,6 +1,9 @@
 #include <plantainward/pooling/placement.hpp>
 
+#include <plantainward/pooling/balancer.hpp>
+
 #include <algorithm>
+#include <vector>
 
 namespace plantainward::pooling
 {
@@ -79,6 +82,73 @@
     return placement{service.primary, std::nullopt};
 }
 
+// Whether a database may run a read that needs this log point.
+bool may_run_read(const upstream_pool& pool, const work& work,
+                  const upstream::log_point& point, bool is_primary,
+                  core::boot_instant now)
+{
+    return !pool.registration().leaving && is_usable(pool, work, now) &&
+           (is_primary || !pool.is_behind(point, now));
+}
+
+double added_cost_ms(const upstream_pool& pool,
+                     const upstream::log_point& point, bool is_primary,
+                     const std::string& own_domain)
+{
+    const auto cost_ms = domain_cost_ms(pool, own_domain);
+    if (is_primary)
+        return cost_ms + primary_cost_ms;
+    return pool.known_point() < point ? cost_ms + behind_cost_ms : cost_ms;
+}
+
+read_candidate candidate_of(const upstream_pool& pool, double extra_ms,
+                            core::boot_instant now)
+{
+    read_candidate candidate;
+    candidate.observed_ms = pool.load().observed_ms(now);
+    candidate.success_share = pool.load().success_share();
+    candidate.own_in_flight = pool.busy_count();
+    candidate.reported_in_flight =
+        pool.reports().mean_in_flight(now).value_or(1);
+    candidate.extra_ms = extra_ms;
+    candidate.start_share = pool.load().start_share(now);
+    return candidate;
+}
+
+/// A number that differs between statements and is the same on every run.
+std::uint64_t number_of(const work& work, const session& session)
+{
+    return session.id * 1'000'003 + work.attempts +
+           static_cast<std::uint64_t>(work.received.time_since_epoch().count());
+}
+
+std::optional<placement>
+place_shared_read(const service_view& service, const work& work,
+                  const session& session, const upstream::log_point& point,
+                  const std::string& own_domain, core::boot_instant now)
+{
+    std::vector<read_candidate> candidates;
+    std::vector<std::string> ids;
+    for (const auto& [id, pool] : service.upstreams)
+    {
+        const bool is_primary = id == service.primary;
+        if ((is_primary && !service.has_primary(now)) ||
+            !may_run_read(pool, work, point, is_primary, now))
+            continue;
+        const auto extra_ms =
+            added_cost_ms(pool, point, is_primary, own_domain);
+        candidates.push_back(candidate_of(pool, extra_ms, now));
+        ids.push_back(id);
+    }
+    const auto chosen = balancer::choose(candidates, number_of(work, session));
+    if (!chosen)
+        return std::nullopt;
+    const auto& id = ids[*chosen];
+    if (id == service.primary)
+        return placement{id, std::nullopt};
+    return placement{id, point};
+}
+
 } // namespace
 
 std::optional<placement> place(const service_view& service, const work& work,
@@ -92,6 +162,9 @@
     const auto point = required_point(service, work, session);
     if (!point)
         return at_primary;
+    if (service.plan.is_shared)
+        return place_shared_read(service, work, session, *point, own_domain,
+                                 now);
     std::optional<placement> best;
     double lowest_cost_ms = 0;
     for (const auto& [id, pool] : service.upstreams)
@@ -99,17 +172,11 @@
         const bool is_primary = id == service.primary;
         if (is_primary && !at_primary)
             continue;
-        if (pool.registration().leaving || !is_usable(pool, work, now))
-            continue;
-        if (!is_primary && pool.is_behind(*point, now))
+        if (!may_run_read(pool, work, *point, is_primary, now))
             continue;
-        auto cost_ms =
+        const auto cost_ms =
             pool.expected_ms() * static_cast<double>(pool.busy_count() + 1) +
-            domain_cost_ms(pool, own_domain);
-        if (is_primary)
-            cost_ms += primary_cost_ms;
-        else if (pool.known_point() < *point)
-            cost_ms += behind_cost_ms;
+            added_cost_ms(pool, *point, is_primary, own_domain);
         if (best && cost_ms >= lowest_cost_ms)
             continue;
         lowest_cost_ms = cost_ms;
--- a/src/plantainward/pooling/pooler.cpp
+++ b/src/plantainward/pooling/pooler.cpp
@@ -112,11 +112,12 @@
     for (const auto& upstream : upstreams)
     {
         auto& service = m_services[upstream.service];
-        auto& pool =
-            service.upstreams
-                .try_emplace(upstream.id, upstream, m_options.leaving_grace)
-                .first->second;
+        const auto [found, is_new] = service.upstreams.try_emplace(
+            upstream.id, upstream, m_options.leaving_grace);
+        auto& pool = found->second;
         pool.set_registration(upstream, now);
+        if (is_new)
+            pool.load().start(now);
         pool.set_share(service.plan.share);
     }
     serve_queue();
--- a/src/plantainward/pooling/pooler_connections.cpp
+++ b/src/plantainward/pooling/pooler_connections.cpp
@@ -14,6 +14,15 @@
 // about the time of one statement.
 constexpr core::millis transaction_busy_pause{15};
 
+// Whether a refusal tells something about the database's state. A missing log
+// point or a lost prepared statement concerns only one kind of statement.
+bool is_failure(sql::refusal refusal)
+{
+    return refusal != sql::refusal::behind &&
+           refusal != sql::refusal::unknown_statement &&
+           refusal != sql::refusal::malformed;
+}
+
 } // namespace
 
 connection* pooler::find(connection_id id)
@@ -188,6 +197,8 @@
     work.connection = 0;
     auto& databases = m_services[work.route.service].upstreams;
     const auto refusing_pool = databases.find(upstream);
+    if (refusing_pool != databases.end() && is_failure(refusal))
+        refusing_pool->second.load().record_failure(m_now);
     if (refusal == sql::refusal::busy && refusing_pool != databases.end())
     {
         // The pool delays all statements to the database, so this refusal
@@ -242,6 +253,7 @@
     }
     else
         pool->record_failure(now);
+    pool->load().record_failure(now);
     remove_connection(id);
     serve_queue();
     return collect_actions();
@@ -254,6 +266,7 @@
     if (pool == nullptr || pool->find(id) == nullptr)
         return collect_actions();
     pool->record_failure(now);
+    pool->load().record_failure(now);
     remove_connection(id);
     serve_queue();
     return collect_actions();
@@ -364,6 +377,11 @@
     pool_of(connection.id)
         ->record_duration(std::chrono::duration_cast<core::millis>(
             m_now - connection.sent_at));
+    pool_of(connection.id)
+        ->load()
+        .record_success(std::chrono::duration_cast<core::millis>(
+                            m_now - connection.sent_at),
+                        m_now);
     if (work.after)
         pool_of(connection.id)->clear_missing_point();
     if (work.at_primary && answer.position)
--- a/src/plantainward/pooling/service_view.hpp
+++ b/src/plantainward/pooling/service_view.hpp
@@ -20,10 +20,12 @@
     std::size_t share{1};
     /// Hosts that run this host's statements, in order of preference; empty
     /// when it runs them itself.
-    std::vector<std::string> delegates;
+    std::vector<std::string> delegates{};
     /// Hosts that run statements for the primary while this host can't reach
     /// it, in order of preference.
-    std::vector<std::string> fallback_delegates;
+    std::vector<std::string> fallback_delegates{};
+    /// The connections are divided among a few hosts.
+    bool is_shared{false};
 };
 
 /// The databases of one service, with its primary and the proofs of freshness.
--- a/src/plantainward/pooling/upstream_pool.hpp
+++ b/src/plantainward/pooling/upstream_pool.hpp
@@ -3,6 +3,8 @@
 #include <plantainward/core/boot_clock.hpp>
 #include <plantainward/core/time.hpp>
 #include <plantainward/pooling/connection.hpp>
+#include <plantainward/pooling/database_load.hpp>
+#include <plantainward/pooling/load_reports.hpp>
 #include <plantainward/routes/routing.hpp>
 
 #include <cstddef>
@@ -126,9 +128,19 @@
     /// Moving average of the time of one statement, in milliseconds.
     double expected_ms() const { return m_expected_ms; }
 
+    /// What this host has observed of the database's load.
+    database_load& load() { return m_load; }
+    const database_load& load() const { return m_load; }
+    /// What other hosts have reported of it.
+    load_reports& reports() { return m_reports; }
+    const load_reports& reports() const { return m_reports; }
+
 private:
     std::optional<core::boot_instant> oldest_unanswered() const;
 
+    database_load m_load;
+    load_reports m_reports;
+
     routes::upstream m_registration;
     core::millis m_leaving_grace;
     std::optional<core::boot_instant> m_leaving_since;
