Eject failing databases from reads, and try a lagging replica rarely

Cause: a database that fails or hangs kept getting reads between pauses. A replica that lags was tried again for every lower log point, after a success with a lower point, and by all waiting reads at once after a pause: 300 tries in two seconds.

Change: ejector ejects a database after 5 failures in a row (2 after a return without an answer) for 1 s, doubled up to 16 s; at most a third of a service's databases, and only while another one answers this host. It returns through the slow start. BUSY, LAGGING and unknown statements don't count. Placement uses it where few hosts hold connections. For all services, the lowest missing log point counts while several reads are refused, only a read of that point or a later one clears it, and one read at a time tries the replica again.

The tries with two kinds of reads stay at 10 or fewer in 1.8 s. entry_tests not run on this commit.

--- a/src/plantainward/pooling/placement.cpp
+++ b/src/plantainward/pooling/placement.cpp
@@ -141,7 +141,8 @@
     {
         const bool is_primary = id == service.primary;
         if ((is_primary && !service.has_primary(now)) ||
-            !may_run_read(pool, work, point, is_primary, now))
+            !may_run_read(pool, work, point, is_primary, now) ||
+            service.ejected.is_ejected(id, now))
             continue;
         auto candidate = candidate_of(pool, own_domain, now);
         if (is_primary)
--- a/src/plantainward/pooling/pooler.cpp
+++ b/src/plantainward/pooling/pooler.cpp
@@ -107,6 +107,7 @@
             for (const auto number : open_connections)
                 drop(number);
             service.upstreams.erase(id);
+            service.ejected.erase(id);
         }
     }
     for (const auto& upstream : upstreams)
--- a/src/plantainward/pooling/pooler.hpp
+++ b/src/plantainward/pooling/pooler.hpp
@@ -268,6 +268,7 @@
     void drop(connection_id id);
     void remove_connection(connection_id id);
     void handle_lost_work(session& session, bool sent, std::string_view detail);
+    void note_failure(service_view& service, upstream_pool& pool);
     void retry_elsewhere(session& session, const std::string& upstream,
                          sql::refusal refusal);
     void handle_setup_answer(connection& connection,
--- a/src/plantainward/pooling/pooler_connections.cpp
+++ b/src/plantainward/pooling/pooler_connections.cpp
@@ -14,11 +14,12 @@
 // about the time of one statement.
 constexpr core::millis transaction_busy_pause{15};
 
-// Whether a refusal tells something about the database's state. A missing log
-// point or a lost prepared statement concerns only one kind of statement.
+// Whether a refusal shows a failure of the database. A missing log point or a
+// lost prepared statement concerns only one kind of statement, and a database
+// without a free slot is in order.
 bool is_failure(sql::refusal refusal)
 {
-    return refusal != sql::refusal::behind &&
+    return refusal != sql::refusal::behind && refusal != sql::refusal::busy &&
            refusal != sql::refusal::unknown_statement &&
            refusal != sql::refusal::malformed;
 }
@@ -190,6 +191,17 @@
     enqueue(session);
 }
 
+// Counts a failure of a database, and ejects it for some time if it keeps
+// failing while others answer. It returns with a small share of the reads.
+void pooler::note_failure(service_view& service, upstream_pool& pool)
+{
+    pool.load().record_failure(m_now);
+    const auto time = service.ejected.record_failure(
+        pool.registration().id, service.upstreams.size(), m_now);
+    if (time)
+        pool.load().start(m_now + *time);
+}
+
 void pooler::retry_elsewhere(session& session, const std::string& upstream,
                              sql::refusal refusal)
 {
@@ -198,6 +210,8 @@
     auto& databases = m_services[work.route.service].upstreams;
     const auto refusing_pool = databases.find(upstream);
     if (refusing_pool != databases.end() && is_failure(refusal))
+        note_failure(m_services[work.route.service], refusing_pool->second);
+    else if (refusing_pool != databases.end() && refusal == sql::refusal::busy)
         refusing_pool->second.load().record_failure(m_now);
     if (refusal == sql::refusal::busy && refusing_pool != databases.end())
     {
@@ -252,8 +266,10 @@
         pool->record_connection_limit(now);
     }
     else
+    {
         pool->record_failure(now);
-    pool->load().record_failure(now);
+        note_failure(*service_of(id), *pool);
+    }
     remove_connection(id);
     serve_queue();
     return collect_actions();
@@ -266,7 +282,7 @@
     if (pool == nullptr || pool->find(id) == nullptr)
         return collect_actions();
     pool->record_failure(now);
-    pool->load().record_failure(now);
+    note_failure(*service_of(id), *pool);
     remove_connection(id);
     serve_queue();
     return collect_actions();
@@ -382,8 +398,9 @@
         .record_success(std::chrono::duration_cast<core::millis>(
                             m_now - connection.sent_at),
                         m_now);
+    service.ejected.record_success(connection.upstream, m_now);
     if (work.after)
-        pool_of(connection.id)->clear_missing_point();
+        pool_of(connection.id)->clear_missing_point(*work.after);
     if (work.at_primary && answer.position)
         service.watermarks.add({connection.sent_at, *answer.position});
     const bool committed =
--- a/src/plantainward/pooling/pooler_maintenance.cpp
+++ b/src/plantainward/pooling/pooler_maintenance.cpp
@@ -103,7 +103,11 @@
             }
         }
     for (const auto id : lost)
+    {
+        if (auto* pool = pool_of(id))
+            note_failure(*service_of(id), *pool);
         drop(id);
+    }
     if (!lost.empty())
         serve_queue();
 }
--- a/src/plantainward/pooling/pooler_queue.cpp
+++ b/src/plantainward/pooling/pooler_queue.cpp
@@ -103,6 +103,8 @@
                         ? "after " + upstream::to_string(*chosen->after)
                         : std::string());
     auto& pool = service.upstreams.at(chosen->upstream);
+    if (chosen->after)
+        pool.note_point_required(*chosen->after, m_now);
     auto* connection = pool.idle_connection(session.values);
     if (connection == nullptr)
     {
--- a/src/plantainward/pooling/service_view.hpp
+++ b/src/plantainward/pooling/service_view.hpp
@@ -2,6 +2,7 @@
 
 #include <plantainward/core/boot_clock.hpp>
 #include <plantainward/freshness/watermark_log.hpp>
+#include <plantainward/pooling/ejector.hpp>
 #include <plantainward/pooling/upstream_pool.hpp>
 
 #include <cstddef>
@@ -33,6 +34,8 @@
 {
     connection_plan plan;
     std::map<std::string, upstream_pool> upstreams;
+    /// Databases that get no reads; used where few hosts hold connections.
+    ejector ejected;
     freshness::watermark_log watermarks;
     /// Id of the recorded primary; empty when none may be used.
     std::string primary;
--- a/src/plantainward/pooling/upstream_pool.cpp
+++ b/src/plantainward/pooling/upstream_pool.cpp
@@ -230,12 +230,38 @@
 void upstream_pool::record_missing_point(const upstream::log_point& point,
                                          core::boot_instant now)
 {
+    // Reads that were sent together are refused together. Their points differ,
+    // and the lowest one decides which reads are tried.
+    if (now - m_missing_at < m_missing_time && m_is_point_missing)
+    {
+        m_missing_point = std::min(m_missing_point, point);
+        return;
+    }
+    m_is_point_missing = true;
     m_missing_point = point;
     m_missing_at = now;
     m_missing_time =
         std::clamp(m_missing_time * 2, min_missing_time, max_missing_time);
 }
 
+void upstream_pool::clear_missing_point(const upstream::log_point& point)
+{
+    if (point < m_missing_point)
+        return;
+    m_missing_time = {};
+    m_is_point_missing = false;
+}
+
+void upstream_pool::note_point_required(const upstream::log_point& point,
+                                        core::boot_instant now)
+{
+    if (!m_is_point_missing || point < m_missing_point)
+        return;
+    // The read is a trial; its answer is counted as a new refusal.
+    m_missing_at = now;
+    m_is_point_missing = false;
+}
+
 bool upstream_pool::is_behind(const upstream::log_point& point,
                               core::boot_instant now) const
 {
--- a/src/plantainward/pooling/upstream_pool.hpp
+++ b/src/plantainward/pooling/upstream_pool.hpp
@@ -108,7 +108,11 @@
     void record_missing_point(const upstream::log_point& point,
                               core::boot_instant now);
     /// The database has run a read that required a log point.
-    void clear_missing_point() { m_missing_time = {}; }
+    void clear_missing_point(const upstream::log_point& point);
+    /// A read that requires a log point is sent. If the database lacked the
+    /// point before, further reads wait for the answer.
+    void note_point_required(const upstream::log_point& point,
+                             core::boot_instant now);
     /// Whether the database has recently lacked this log point or an earlier
     /// one.
     bool is_behind(const upstream::log_point& point,
@@ -155,6 +159,9 @@
     upstream::log_point m_known_point;
     upstream::log_point m_missing_point;
     core::boot_instant m_missing_at{};
+    /// The database was last seen to lack the point; false while a trial is
+    /// under way.
+    bool m_is_point_missing{false};
     /// For how long the database is presumed to lack the missing point.
     core::millis m_missing_time{0};
     /// Statements that may run at a time; 0 when only the connections limit
--- a/tests/pooling/placement_tests.cpp
+++ b/tests/pooling/placement_tests.cpp
@@ -104,3 +104,51 @@
     run_statements("p", 12);
     STRCMP_EQUAL("far", chosen().c_str());
 }
+
+TEST(placement, an_ejected_database_gets_no_reads)
+{
+    run_statements("p", 3);
+    service.ejected.record_success("far", now);
+    for (int i = 0; i < 5; ++i)
+        service.ejected.record_failure("near", 3, now);
+    STRCMP_EQUAL("far", chosen().c_str());
+}
+
+TEST(placement, reads_that_need_different_points_do_not_reach_a_lagging_replica)
+{
+    // Failure: a refusal of a later point hid that of an earlier one, so reads
+    // of both kinds alternated at a replica that lagged every time: 300 tries
+    // in two seconds.
+    auto& pool = service.upstreams.at("near");
+    auto at = now;
+    int tries = 0;
+    for (int i = 0; i < 600; ++i, at += millis(3))
+        for (const std::uint64_t position : {50, 90, 50})
+        {
+            const upstream::log_point point{
+                1, position + static_cast<std::uint64_t>(i)};
+            if (pool.is_behind(point, at))
+                continue;
+            ++tries;
+            pool.note_point_required(point, at);
+            pool.record_missing_point(point, at + millis(1));
+        }
+    CHECK(tries >= 3);
+    CHECK(tries <= 10);
+}
+
+TEST(placement, one_read_at_a_time_tries_a_replica_that_lagged)
+{
+    // Failure: after the pause, all waiting reads were sent before the first
+    // was answered.
+    auto& pool = service.upstreams.at("near");
+    pool.record_missing_point({1, 5}, now);
+    const auto later = now + millis(100);
+    CHECK_FALSE(pool.is_behind({1, 5}, later));
+    pool.note_point_required({1, 5}, later);
+    CHECK(pool.is_behind({1, 5}, later));
+    pool.clear_missing_point({1, 4});
+    CHECK(pool.is_behind({1, 5}, later));
+    pool.clear_missing_point({1, 5});
+    CHECK_FALSE(pool.is_behind({1, 5}, later));
+}
