--- a/src/plantainward/pooling/pooler.cpp
+++ b/src/plantainward/pooling/pooler.cpp
@@ -44,8 +44,8 @@
 } // namespace
 
 pooler::pooler(pooler_options options)
-    : m_options(std::move(options)),
-      m_ledger(m_options.host, m_options.quota), m_tokens(m_options.quota)
+    : m_options(std::move(options)), m_ledger(m_options.host, m_options.quota),
+      m_tokens(m_options.quota)
 {
 }
 
@@ -139,6 +139,7 @@
             for (const auto number : open_connections)
                 drop(number);
             service.upstreams.erase(id);
+            service.ejected.erase(id);
         }
     }
     for (const auto& upstream : upstreams)
@@ -153,6 +154,8 @@
             service.plan.is_shared && !service.plan.delegates.empty();
         if (is_new && only_watches)
             pool.delay_first_probe(now);
+        if (is_new)
+            pool.load().start(now);
     }
     serve_queue();
     return collect_actions();
--- a/src/plantainward/pooling/pooler_connections.cpp
+++ b/src/plantainward/pooling/pooler_connections.cpp
@@ -14,6 +14,16 @@
 // about the time of one statement.
 constexpr core::millis transaction_busy_pause{15};
 
+// Whether a refusal shows a failure of the database. A missing log point or a
+// lost prepared statement concerns only one kind of statement, and a database
+// without a free slot is in order.
+bool is_failure(sql::refusal refusal)
+{
+    return refusal != sql::refusal::behind && refusal != sql::refusal::busy &&
+           refusal != sql::refusal::unknown_statement &&
+           refusal != sql::refusal::malformed;
+}
+
 } // namespace
 
 connection* pooler::find(connection_id id)
@@ -186,6 +196,17 @@
     enqueue(session);
 }
 
+// Counts a failure of a database, and ejects it for some time if it keeps
+// failing while others answer. It returns with a small share of the reads.
+void pooler::note_failure(service_view& service, upstream_pool& pool)
+{
+    pool.load().record_failure(m_now);
+    const auto time = service.ejected.record_failure(
+        pool.registration().id, service.upstreams.size(), m_now);
+    if (time)
+        pool.load().start(m_now + *time);
+}
+
 void pooler::retry_elsewhere(session& session, const std::string& upstream,
                              sql::refusal refusal)
 {
@@ -193,6 +214,10 @@
     work.connection = 0;
     auto& databases = m_services[work.route.service].upstreams;
     const auto refusing_pool = databases.find(upstream);
+    if (refusing_pool != databases.end() && is_failure(refusal))
+        note_failure(m_services[work.route.service], refusing_pool->second);
+    else if (refusing_pool != databases.end() && refusal == sql::refusal::busy)
+        refusing_pool->second.load().record_failure(m_now);
     if (refusal == sql::refusal::busy && refusing_pool != databases.end())
     {
         // The pool delays all statements to the database, so this refusal
@@ -243,7 +268,10 @@
         refusal == sql::refusal::busy)
         pool->record_contact(now);
     else
+    {
         pool->record_failure(now);
+        note_failure(*service_of(id), *pool);
+    }
     pool->record_refused_opening(pool->find(id)->sent_at, now);
     remove_connection(id);
     serve_queue();
@@ -257,6 +285,7 @@
     if (pool == nullptr || pool->find(id) == nullptr)
         return collect_actions();
     pool->record_failure(now);
+    note_failure(*service_of(id), *pool);
     remove_connection(id);
     serve_queue();
     return collect_actions();
@@ -367,8 +396,14 @@
     pool_of(connection.id)
         ->record_duration(std::chrono::duration_cast<core::millis>(
             m_now - connection.sent_at));
+    pool_of(connection.id)
+        ->load()
+        .record_success(std::chrono::duration_cast<core::millis>(
+                            m_now - connection.sent_at),
+                        m_now);
+    service.ejected.record_success(connection.upstream, m_now);
     if (work.after)
-        pool_of(connection.id)->clear_missing_point();
+        pool_of(connection.id)->clear_missing_point(*work.after);
     if (work.at_primary && answer.position)
         service.watermarks.add({connection.sent_at, *answer.position});
     const bool committed =
--- a/src/plantainward/pooling/service_view.hpp
+++ b/src/plantainward/pooling/service_view.hpp
@@ -2,6 +2,7 @@
 
 #include <plantainward/core/boot_clock.hpp>
 #include <plantainward/freshness/watermark_log.hpp>
+#include <plantainward/pooling/ejector.hpp>
 #include <plantainward/pooling/upstream_pool.hpp>
 
 #include <cstddef>
@@ -20,11 +21,11 @@
     std::size_t share{1};
     /// Hosts that run this host's statements, in order of preference; empty
     /// when it runs them itself.
-    std::vector<std::string> delegates;
+    std::vector<std::string> delegates{};
     /// Hosts that run statements for the primary while this host can't reach
     /// it, in order of preference.
     std::vector<std::string> fallback_delegates{};
-    /// The connections are divided among a few hosts, not among all.
+    /// The connections are divided among a few hosts.
     bool is_shared{false};
 };
 
@@ -33,6 +34,8 @@
 {
     connection_plan plan;
     std::map<std::string, upstream_pool> upstreams;
+    /// Databases that get no reads; used where few hosts hold connections.
+    ejector ejected;
     freshness::watermark_log watermarks;
     /// Id of the recorded primary; empty when none may be used.
     std::string primary;
--- a/src/plantainward/pooling/upstream_pool.hpp
+++ b/src/plantainward/pooling/upstream_pool.hpp
@@ -4,6 +4,8 @@
 #include <plantainward/core/time.hpp>
 #include <plantainward/pooling/connection.hpp>
 #include <plantainward/pooling/connection_budget.hpp>
+#include <plantainward/pooling/database_load.hpp>
+#include <plantainward/pooling/load_reports.hpp>
 #include <plantainward/routes/routing.hpp>
 
 #include <cstddef>
@@ -141,7 +143,11 @@
     void record_missing_point(const upstream::log_point& point,
                               core::boot_instant now);
     /// The database has run a read that required a log point.
-    void clear_missing_point() { m_missing_time = {}; }
+    void clear_missing_point(const upstream::log_point& point);
+    /// A read that requires a log point is sent. If the database lacked the
+    /// point before, further reads wait for the answer.
+    void note_point_required(const upstream::log_point& point,
+                             core::boot_instant now);
     /// Whether the database has recently lacked this log point or an earlier
     /// one.
     bool is_behind(const upstream::log_point& point,
@@ -161,12 +167,22 @@
     /// Moving average of the time of one statement, in milliseconds.
     double expected_ms() const { return m_expected_ms; }
 
+    /// What this host has observed of the database's load.
+    database_load& load() { return m_load; }
+    const database_load& load() const { return m_load; }
+    /// What other hosts have reported of it.
+    load_reports& reports() { return m_reports; }
+    const load_reports& reports() const { return m_reports; }
+
 private:
     std::optional<core::boot_instant> oldest_unanswered() const;
     /// Whether pauses after failures allow another connection to be opened.
     bool is_opening_allowed(core::boot_instant now) const;
     std::size_t opening_count() const;
 
+    database_load m_load;
+    load_reports m_reports;
+
     routes::upstream m_registration;
     core::millis m_leaving_grace;
     std::optional<core::boot_instant> m_leaving_since;
@@ -183,6 +199,9 @@
     upstream::log_point m_known_point;
     upstream::log_point m_missing_point;
     core::boot_instant m_missing_at{};
+    /// The database was last seen to lack the point; false while a trial is
+    /// under way.
+    bool m_is_point_missing{false};
     /// For how long the database is presumed to lack the missing point.
     core::millis m_missing_time{0};
     /// Statements that may run at a time; 0 when only the connections limit
