--- a/src/plantainward/entry/host_reports.cpp
+++ b/src/plantainward/entry/host_reports.cpp
@@ -78,6 +78,17 @@
                         observe::row_of(event_of(decision.kind)).name);
 }
 
+void host_reports::report(const pooling::identity_refusal& refusal)
+{
+    const auto cause = pooling::refusal_cause_names[refusal.cause];
+    m_log.write(log_event::caller_refused,
+                {{"cause", std::string(cause)},
+                 {"workspace", std::string(refusal.workspace)},
+                 {"routing", std::to_string(refusal.routing_version)},
+                 {"proof_age_ms", std::to_string(refusal.proof_age.count())}});
+    m_metrics.count("refused_callers", cause);
+}
+
 void host_reports::count(const pooling::finished_statement& statement)
 {
     const auto rule = rule_names[statement.route.consistency];
@@ -100,6 +111,8 @@
         [this](const pooling::finished_statement& statement) {
             count(statement);
         });
+    host.pooler().observe_refusals(
+        [this](const pooling::identity_refusal& refusal) { report(refusal); });
 }
 
 } // namespace plantainward::entry
--- a/src/plantainward/entry/host_reports.hpp
+++ b/src/plantainward/entry/host_reports.hpp
@@ -20,6 +20,7 @@
                 const std::string& detail = {});
     void report(const host_event& event);
     void report(const pooling::decision& decision);
+    void report(const pooling::identity_refusal& refusal);
     void count(const pooling::finished_statement& statement);
 
     /// Registers as the observer of a host's decisions.
--- a/src/plantainward/observe/log_event.cpp
+++ b/src/plantainward/observe/log_event.cpp
@@ -17,7 +17,7 @@
 constexpr int failure_per_s = 100;
 constexpr int request_per_s = 40;
 
-constexpr std::array<log_event_row, 40> table{{
+constexpr std::array<log_event_row, 41> table{{
     {started, "started", rare_per_s, "the process listens"},
     {stopped, "stopped", rare_per_s,
      "the process ends after a graceful shutdown"},
@@ -102,6 +102,10 @@
      "the time limit of the request has passed; with whether it was sent"},
     {request_refused, "request_refused", failure_per_s,
      "the caller receives an error; with its kind and reason"},
+    {caller_refused, "caller_refused", failure_per_s,
+     "a session or a statement is refused because of the caller's key or of "
+     "the routing's age; with the cause, the workspace, the version of the "
+     "routing and the age of the proof that it is current"},
     {request_committed, "request_committed", request_per_s,
      "a write is acknowledged to the caller; with the remaining time of the "
      "lease on the database that ran it"},
--- a/src/plantainward/observe/log_event.hpp
+++ b/src/plantainward/observe/log_event.hpp
@@ -51,6 +51,7 @@
     request_lost,
     request_timed_out,
     request_refused,
+    caller_refused,
     request_committed,
     lines_suppressed
 };
--- a/src/plantainward/pooling/pooler.hpp
+++ b/src/plantainward/pooling/pooler.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <plantainward/core/boot_clock.hpp>
+#include <plantainward/core/enum_names.hpp>
 #include <plantainward/core/time.hpp>
 #include <plantainward/pooling/action.hpp>
 #include <plantainward/pooling/service_view.hpp>
@@ -80,6 +81,9 @@
     routing_not_proved
 };
 
+inline constexpr core::enum_names<refusal_cause, 3> refusal_cause_names{
+    {"unknown_key", "withdrawn_key", "routing_not_proved"}};
+
 /// A refusal because of the caller's key or of the routing's age, for logs and
 /// metrics.
 struct identity_refusal
--- a/tests/platform_adapter/table_follower_tests.cpp
+++ b/tests/platform_adapter/table_follower_tests.cpp
@@ -27,6 +27,14 @@
     std::unique_ptr<store_client> client;
     std::unique_ptr<table_follower> follower;
     std::size_t rows{0};
+    std::vector<bool> probes;
+
+    void probe()
+    {
+        follower->probe([this](bool succeeded, core::boot_instant) {
+            probes.push_back(succeeded);
+        });
+    }
 
     void setup() override
     {
@@ -102,6 +110,39 @@
     LONGS_EQUAL(2, rows);
 }
 
+TEST(table_follower, a_probe_delivers_changes_and_ends_without_waiting_for_one)
+{
+    probe();
+    CHECK((probes == std::vector{false}));
+    follower->start();
+    run_for(millis(300));
+    probe();
+    run_for(millis(100));
+    CHECK((probes == std::vector{false, true}));
+    store->put("t", "b", "2");
+    probe();
+    run_for(millis(50));
+    CHECK((probes == std::vector{false, true, true}));
+    CHECK(rows >= 2);
+}
+
+// The number at which a probe would continue stands for another change then.
+TEST(table_follower, a_probe_does_not_succeed_across_a_new_era)
+{
+    const auto copy = store->version();
+    store->put("t", "b", "2");
+    follower->start();
+    run_for(millis(300));
+    store->restore(copy);
+    probe();
+    run_for(millis(100));
+    CHECK((probes == std::vector{false}));
+    run_for(millis(600));
+    probe();
+    run_for(millis(100));
+    CHECK((probes == std::vector{false, true}));
+}
+
 TEST(table_follower, a_table_that_was_restored_from_a_copy_is_read_again)
 {
     // Guards against a host that discarded the restored table as outdated until
--- a/tests/pooling/identity_tests.cpp
+++ b/tests/pooling/identity_tests.cpp
@@ -9,7 +9,9 @@
 // public route "specs".
 struct identity_case : pooler_case
 {
-    identity_case()
+    identity_case() { set_up_keys(); }
+
+    void set_up_keys()
     {
         pool.observe_refusals([this](const identity_refusal& refusal) {
             refusals.push_back(refusal.cause);
@@ -17,6 +19,14 @@
         put_keys({{"k", "a"}, {"m", "b"}});
     }
 
+    /// Begins again with a pooler that has these options.
+    void use(const pooler_options& options)
+    {
+        pool = pooler(options);
+        set_up();
+        set_up_keys();
+    }
+
     void put_keys(const std::map<std::string, std::string>& keys)
     {
         auto routing = pool.routing();
@@ -223,6 +233,75 @@
     LONGS_EQUAL(0, c.refusals.size());
 }
 
+TEST(identity, a_statement_under_a_key_needs_a_recent_proof_of_the_routing)
+{
+    pooler_options options;
+    options.failure_domain = "a";
+    options.max_proof_age = millis(4900);
+    c.use(options);
+    CHECK(c.open_with(1, "cards", "k") == open_result::opened);
+    c.submit(1, statement_kind::write, "WRITE a 1");
+    CHECK(c.last_reply().error == error_kind::overloaded);
+    c.pool.set_routing_proof(c.now);
+    c.now += millis(4900);
+    c.submit(1, statement_kind::write, "WRITE a 1");
+    c.succeed(c.complete_open());
+    CHECK_FALSE(c.last_reply().error.has_value());
+    c.now += millis(1);
+    c.submit(1, statement_kind::write, "WRITE a 1");
+    CHECK(c.last_reply().error == error_kind::overloaded);
+    c.submit(1, statement_kind::begin, "BEGIN");
+    CHECK(c.last_reply().error == error_kind::overloaded);
+    LONGS_EQUAL(1, c.opened.size());
+    LONGS_EQUAL(3, c.refusals.size());
+    CHECK(c.refusals.back() == refusal_cause::routing_not_proved);
+    // The session is served again with the next proof.
+    c.pool.set_routing_proof(c.now);
+    c.submit(1, statement_kind::begin, "BEGIN");
+    CHECK_FALSE(c.last_reply().error.has_value());
+}
+
+TEST(identity, without_a_proof_an_open_transaction_is_rolled_back)
+{
+    pooler_options options;
+    options.failure_domain = "a";
+    options.max_proof_age = millis(4900);
+    c.use(options);
+    c.pool.set_routing_proof(c.now);
+    c.begin_under_key();
+    c.now += millis(5000);
+    c.submit(1, statement_kind::commit, "COMMIT");
+    CHECK(c.last_reply().error == error_kind::overloaded);
+    CHECK(c.last_reply().state == transaction_state::idle);
+    CHECK(c.last_command().kind == command_kind::rollback);
+}
+
+TEST(identity, a_public_route_needs_no_proof)
+{
+    pooler_options options;
+    options.failure_domain = "a";
+    options.max_proof_age = millis(4900);
+    c.use(options);
+    CHECK(c.open_with(1, "specs", "k") == open_result::opened);
+    c.submit(1, statement_kind::read, "READ a");
+    c.succeed(c.complete_open());
+    CHECK_FALSE(c.last_reply().error.has_value());
+}
+
+TEST(identity, without_workspaces_no_proof_is_needed)
+{
+    pooler_case plain;
+    pooler_options options;
+    options.failure_domain = "a";
+    options.max_proof_age = millis(4900);
+    plain.pool = pooler(options);
+    plain.set_up();
+    plain.open_session(1, "cards");
+    plain.submit(1, statement_kind::write, "WRITE a 1");
+    plain.succeed(plain.complete_open());
+    CHECK_FALSE(plain.replies.back().reply.error.has_value());
+}
+
 TEST(identity, without_workspaces_no_key_is_needed)
 {
     pooler_case plain;
--- a/tests/support/pooler_case.hpp
+++ b/tests/support/pooler_case.hpp
@@ -24,7 +24,9 @@
 /// the actions that it returned.
 struct pooler_case
 {
-    pooler_case()
+    pooler_case() { set_up(); }
+
+    void set_up()
     {
         routes::routing routing;
         routing.version = 1;
