Holders by workspace: a workspace has few holders, in a fixed order

Cause: with 78 workspaces and 15 connections per holder, holders chosen regardless of the workspace open a connection for about every fourth operation, which occupies a slot for 12 ms.

Change: with workspaces in the routing, the holders of a service are ordered for each workspace by rendezvous hashing (fleet::workspace_holders) and the pooler asks for the order lazily (pooling::workspace_delegations). Small workspaces have one holder, large ones holders in each failure domain. A holder that is not the first choice forwards, once. Holders have equal weights, since they have equal shares. Unused connections of workspaces are closed after 120 s, after 5 s for removed ones. The causes of openings are counted in plantainward_openings_total. Without workspaces the division, the delegates and the idle connections are as before.

--- a/src/plantainward/entry/entry_host.cpp
+++ b/src/plantainward/entry/entry_host.cpp
@@ -244,17 +244,20 @@
 void entry_host::plan_connections()
 {
     bool needs_proofs = false;
+    const auto shares = workspace_shares();
+    const auto options = fleet::options_for(m_plan_options, shares->size());
     for (const auto& [service, limits] : m_pooler.routing().services)
     {
         auto& holders = m_holders[service];
         holders = fleet::divide_connections(service, limits.max_connections,
                                             m_members, m_fleet.voters().names,
-                                            m_plan_options);
+                                            options);
         m_pooler.set_plan(
             service,
             {holders.share_of(m_identity.name),
              holders.delegates_of(m_identity.name, m_identity.failure_domain),
-             holders.fallback_delegates_of(m_identity.name, m_members)});
+             holders.fallback_delegates_of(m_identity.name, m_members),
+             delegations_of(service, shares)});
         needs_proofs = needs_proofs || watches(service);
     }
     m_fleet.set_needs_proofs(needs_proofs);
--- a/src/plantainward/entry/entry_host.hpp
+++ b/src/plantainward/entry/entry_host.hpp
@@ -5,6 +5,7 @@
 #include <plantainward/fleet/fleet_view.hpp>
 #include <plantainward/fleet/table_update.hpp>
 #include <plantainward/fleet/voter_change.hpp>
+#include <plantainward/fleet/workspace_holders.hpp>
 #include <plantainward/observe/log_event.hpp>
 #include <plantainward/observe/metrics.hpp>
 #include <plantainward/pooling/pooler.hpp>
@@ -13,6 +14,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -350,6 +352,10 @@
     std::size_t rank_for(const std::string& service,
                          core::boot_instant now) const;
     void plan_connections();
+    std::shared_ptr<const fleet::workspace_shares> workspace_shares() const;
+    pooling::workspace_delegations
+    delegations_of(const std::string& service,
+                   std::shared_ptr<const fleet::workspace_shares> shares) const;
     bool watches(const std::string& service) const;
     bool has_current_tables(core::boot_instant now) const;
     void report(observe::log_event event, const std::string& service,
--- a/src/plantainward/entry/host_reports.cpp
+++ b/src/plantainward/entry/host_reports.cpp
@@ -100,6 +100,10 @@
         [this](const pooling::finished_statement& statement) {
             count(statement);
         });
+    host.pooler().observe_openings(
+        [this](std::string_view, pooling::opening_cause cause) {
+            m_metrics.count("openings", pooling::opening_cause_names[cause]);
+        });
 }
 
 } // namespace plantainward::entry
--- a/src/plantainward/fleet/connection_plan.cpp
+++ b/src/plantainward/fleet/connection_plan.cpp
@@ -30,6 +30,16 @@
         });
 }
 
+std::map<std::string, std::vector<std::string>>
+service_holders::names_by_domain() const
+{
+    auto result = by_domain;
+    if (!all_hosts_hold)
+        for (auto& [domain, names] : result)
+            names.resize(std::min(holders_in_domain, names.size()));
+    return result;
+}
+
 std::vector<std::string>
 service_holders::delegates_of(const std::string& host,
                               const std::string& domain) const
--- a/src/plantainward/fleet/connection_plan.hpp
+++ b/src/plantainward/fleet/connection_plan.hpp
@@ -57,6 +57,9 @@
     /// host that is neither a holder nor a watcher.
     std::size_t share_of(const std::string& host) const;
     bool is_holder(const std::string& host) const;
+    /// The holders of each failure domain; empty when every host has enough
+    /// connections for its own work.
+    std::map<std::string, std::vector<std::string>> names_by_domain() const;
     /// Hosts that run the work of a host without a pool, in order of
     /// preference: those of its own failure domain come first. Empty for a
     /// holder.
--- a/src/plantainward/pooling/pooler.cpp
+++ b/src/plantainward/pooling/pooler.cpp
@@ -200,6 +200,8 @@
     session.id = id;
     session.database = database;
     session.key_digest = key_digest;
+    if (const auto* workspace = m_routing.find_workspace(key_digest))
+        session.workspace = workspace->name;
     session.last_active = now;
     return open_result::opened;
 }
@@ -361,7 +363,8 @@
     if (try_start(session))
         return;
     const bool has_delegates =
-        !m_services[route.service].plan.delegates.empty();
+        !m_services[route.service].plan.delegates.empty() ||
+        !delegation_of(session).preferred.empty();
     if (m_isolated && !has_delegates)
         return refuse_on_this_host(
             session, "this host can't prove which database is the primary");
@@ -459,6 +462,7 @@
     return_remote_work();
     refuse_waiting_for_withdrawn_primaries();
     drop_surplus_connections();
+    drop_unused_connections();
     serve_queue();
     probe_silent_upstreams();
     return collect_actions();
--- a/src/plantainward/pooling/pooler.hpp
+++ b/src/plantainward/pooling/pooler.hpp
@@ -3,6 +3,7 @@
 #include <plantainward/core/boot_clock.hpp>
 #include <plantainward/core/time.hpp>
 #include <plantainward/pooling/action.hpp>
+#include <plantainward/pooling/opening.hpp>
 #include <plantainward/pooling/service_view.hpp>
 #include <plantainward/pooling/session.hpp>
 
@@ -103,6 +104,8 @@
     /// empty.
     void observe(decision_observer on_decision,
                  statement_observer on_statement);
+    /// Sets the receiver of the causes of openings; may be empty.
+    void observe_openings(opening_observer on_opening);
 
     /// Replaces the routing; returns false and changes nothing unless its
     /// version is newer.
@@ -261,7 +264,11 @@
     upstream_pool* pool_of(connection_id id);
     service_view* service_of(connection_id id);
     connection& open(const std::string& service, upstream_pool& pool,
-                     const std::string& workspace);
+                     const std::string& workspace, bool is_probe = false);
+    void report_opening(const std::string& service, const upstream_pool& pool,
+                        const std::string& workspace, bool is_probe);
+    void drop_unused_connections();
+    delegation_view delegation_of(const session& session);
     void make_room(upstream_pool& pool, const std::string& workspace);
     static bool is_of_workspace(const connection& connection,
                                 const session& session);
@@ -297,6 +304,7 @@
     pooler_options m_options;
     decision_observer m_on_decision;
     statement_observer m_on_statement;
+    opening_observer m_on_opening;
     routes::routing m_routing;
     std::map<std::string, service_view> m_services;
     std::unordered_map<connection_id, connection_location> m_locations;
--- a/src/plantainward/pooling/pooler_connections.cpp
+++ b/src/plantainward/pooling/pooler_connections.cpp
@@ -41,8 +41,9 @@
 }
 
 connection& pooler::open(const std::string& service, upstream_pool& pool,
-                         const std::string& workspace)
+                         const std::string& workspace, bool is_probe)
 {
+    report_opening(service, pool, workspace, is_probe);
     make_room(pool, workspace);
     const auto id = ++m_last_connection_id;
     auto& new_connection = pool.add(id, workspace, m_now);
--- a/src/plantainward/pooling/pooler_maintenance.cpp
+++ b/src/plantainward/pooling/pooler_maintenance.cpp
@@ -120,7 +120,7 @@
             if (connection == nullptr)
             {
                 if (pool.may_open(m_now))
-                    open(name, pool, {});
+                    open(name, pool, {}, true);
                 continue;
             }
             connection->stage = connection_stage::probing;
--- a/src/plantainward/pooling/pooler_queue.cpp
+++ b/src/plantainward/pooling/pooler_queue.cpp
@@ -88,13 +88,16 @@
     auto& service = m_services[work.route.service];
     if (work.attempts >= max_attempts)
         return false;
-    if (!session.origin && !service.plan.delegates.empty())
-        return try_forward(session, service.plan.delegates);
+    const auto delegation = delegation_of(session);
+    if (try_forward(session, delegation.preferred))
+        return true;
+    if (!delegation.runs_here)
+        return false;
     const auto chosen =
         place(service, work, session, m_options.failure_domain, m_now);
     if (!chosen)
-        return !session.origin && is_primary_unreachable(work) &&
-               try_forward(session, service.plan.fallback_delegates);
+        return is_primary_unreachable(work) &&
+               try_forward(session, delegation.fallback);
     ++work.attempts;
     work.after = chosen->after;
     work.at_primary = service.is_primary(chosen->upstream, m_now);
--- a/src/plantainward/pooling/service_view.hpp
+++ b/src/plantainward/pooling/service_view.hpp
@@ -2,6 +2,7 @@
 
 #include <plantainward/core/boot_clock.hpp>
 #include <plantainward/freshness/watermark_log.hpp>
+#include <plantainward/pooling/delegation.hpp>
 #include <plantainward/pooling/upstream_pool.hpp>
 
 #include <cstddef>
@@ -24,6 +25,8 @@
     /// Hosts that run statements for the primary while this host can't reach
     /// it, in order of preference.
     std::vector<std::string> fallback_delegates;
+    /// Takes precedence for statements that have a workspace.
+    workspace_delegations by_workspace{};
 };
 
 /// The databases of one service, with its primary and the proofs of freshness.
--- a/tests/pooling/workspace_tests.cpp
+++ b/tests/pooling/workspace_tests.cpp
@@ -240,3 +240,70 @@
     for (const auto& open : c.opened)
         STRCMP_EQUAL("", open.workspace.c_str());
 }
+
+TEST(workspaces, unused_connections_of_a_removed_workspace_are_closed)
+{
+    // Failure: connections of a workspace that no longer exists stayed open
+    // while other workspaces had to close theirs.
+    const auto removed = c.add_idle("a");
+    const auto kept = c.add_idle("b");
+    c.set_workspaces({"b"});
+    c.tick(std::chrono::seconds(4));
+    CHECK(!c.is_closed(removed));
+    c.tick(std::chrono::seconds(2));
+    CHECK(c.is_closed(removed));
+    CHECK(!c.is_closed(kept));
+}
+
+TEST(workspaces, unused_connections_of_a_moved_workspace_are_closed)
+{
+    // Failure: a workspace moved to another holder, and its connections here
+    // stayed open for ever; a connection that is used stays open.
+    const auto moved = c.add_idle("a");
+    const auto used = c.add_idle("b");
+    for (int i = 0; i < 13; ++i)
+    {
+        c.now += std::chrono::seconds(10);
+        c.pool.set_primary("ledger", "p", c.now + millis(20'000), c.now);
+        c.run("b");
+        c.finish(used);
+        c.tick(millis(0));
+        if (i == 10)
+            CHECK(!c.is_closed(moved));
+    }
+    CHECK(!c.is_closed(used));
+    CHECK(c.is_closed(moved));
+}
+
+TEST(workspaces, connections_without_a_workspace_are_not_closed_when_unused)
+{
+    // Failure: a deployment without workspaces closed and opened idle
+    // connections.
+    c.run("");
+    const auto id = c.finish_open();
+    c.finish(id);
+    for (int i = 0; i < 30; ++i)
+    {
+        c.tick(std::chrono::seconds(10));
+        c.finish(id);
+    }
+    CHECK(!c.is_closed(id));
+}
+
+TEST(workspaces, openings_are_reported_by_cause)
+{
+    // Failure: the metrics did not tell evictions from growth.
+    std::vector<std::string> causes;
+    c.pool.observe_openings([&](std::string_view, opening_cause cause) {
+        causes.emplace_back(opening_cause_names[cause]);
+    });
+    c.run("a");
+    c.run("a");
+    for (const auto& open : std::vector(c.opened))
+        c.finish(c.finish_open(open.connection));
+    c.run("b");
+    LONGS_EQUAL(3, causes.size());
+    STRCMP_EQUAL("first_of_workspace", causes[0].c_str());
+    STRCMP_EQUAL("all_in_use", causes[1].c_str());
+    STRCMP_EQUAL("eviction", causes[2].c_str());
+}
