--- a/src/plantainward/entry/host_reports.cpp
+++ b/src/plantainward/entry/host_reports.cpp
@@ -113,6 +113,10 @@
         });
     host.pooler().observe_refusals(
         [this](const pooling::identity_refusal& refusal) { report(refusal); });
+    host.pooler().observe_openings(
+        [this](std::string_view, pooling::opening_cause cause) {
+            m_metrics.count("openings", pooling::opening_cause_names[cause]);
+        });
 }
 
 } // namespace plantainward::entry
--- a/src/plantainward/pooling/pooler.cpp
+++ b/src/plantainward/pooling/pooler.cpp
@@ -424,7 +424,8 @@
     }
     if (try_start(session))
         return;
-    const bool has_delegates = !m_services[service].plan.delegates.empty();
+    const bool has_delegates = !m_services[service].plan.delegates.empty() ||
+                               !delegation_of(session).preferred.empty();
     if (m_isolated && !has_delegates)
         return refuse_on_this_host(
             session, "this host can't prove which database is the primary");
@@ -531,6 +532,7 @@
     return_remote_work();
     refuse_waiting_for_withdrawn_primaries();
     drop_surplus_connections();
+    drop_unused_connections();
     serve_queue();
     probe_silent_upstreams();
     return collect_actions();
--- a/src/plantainward/pooling/pooler.hpp
+++ b/src/plantainward/pooling/pooler.hpp
@@ -4,6 +4,7 @@
 #include <plantainward/core/enum_names.hpp>
 #include <plantainward/core/time.hpp>
 #include <plantainward/pooling/action.hpp>
+#include <plantainward/pooling/opening.hpp>
 #include <plantainward/pooling/service_view.hpp>
 #include <plantainward/pooling/session.hpp>
 #include <plantainward/quota/token_ledger.hpp>
@@ -150,6 +151,8 @@
     {
         m_on_refusal = std::move(on_refusal);
     }
+    /// Sets the receiver of the causes of openings; may be empty.
+    void observe_openings(opening_observer on_opening);
 
     /// Replaces the routing; returns false and changes nothing unless its
     /// version is newer.
@@ -367,7 +370,11 @@
     upstream_pool* pool_of(connection_id id);
     service_view* service_of(connection_id id);
     connection& open(const std::string& service, upstream_pool& pool,
-                     const std::string& workspace);
+                     const std::string& workspace, bool is_probe = false);
+    void report_opening(const std::string& service, const upstream_pool& pool,
+                        const std::string& workspace, bool is_probe);
+    void drop_unused_connections();
+    delegation_view delegation_of(const session& session);
     void make_room(upstream_pool& pool, const std::string& workspace);
     static bool is_of_workspace(const connection& connection,
                                 const session& session);
@@ -405,6 +412,7 @@
     decision_observer m_on_decision;
     statement_observer m_on_statement;
     refusal_observer m_on_refusal;
+    opening_observer m_on_opening;
     routes::routing m_routing;
     /// The keys of waiting statements and open transactions have to be looked
     /// up in the routing again.
--- a/src/plantainward/pooling/service_view.hpp
+++ b/src/plantainward/pooling/service_view.hpp
@@ -2,6 +2,7 @@
 
 #include <plantainward/core/boot_clock.hpp>
 #include <plantainward/freshness/watermark_log.hpp>
+#include <plantainward/pooling/delegation.hpp>
 #include <plantainward/pooling/ejector.hpp>
 #include <plantainward/pooling/upstream_pool.hpp>
 
@@ -25,6 +26,8 @@
     /// Hosts that run statements for the primary while this host can't reach
     /// it, in order of preference.
     std::vector<std::string> fallback_delegates{};
+    /// Takes precedence for statements that have a workspace.
+    workspace_delegations by_workspace{};
     /// The connections are divided among a few hosts.
     bool is_shared{false};
 };
