Admission, in-flight window, retry budget and ended rests for shared databases

Cause: statements queued in order of arrival until half of their limit, so under overload most were late and the rest were refused after 500 ms; a database that was busy or not the primary was sent a statement every 15 ms; resting transactions kept their connections for the whole idle time.

Change, only where a few hosts hold a service's connections: - admission decides on arrival (wait, wait late, reject) from the queue, the completions a second, the time per statement, objective, limit, priority and the workspace's use compared with its usual one (workspace_shares); waiting statements run by (can meet objective, priority, share, objective). - flight_window: statements in flight grow by one a round trip, and shrink by 5% while answers take over twice the time without load. - refusal_pause: 15 ms doubling to 120 ms with jitter while a database refuses everything, then one statement tries it; retry_budget: a tenth of the successes plus 2 a second, at most 20, and none past the deadline. - the longest resting transactions end, after half of the idle time, as many as waiting statements can use. Refusal causes and the queue by priority and workspace in logs and metrics.

--- a/src/plantainward/entry/host_reports.cpp
+++ b/src/plantainward/entry/host_reports.cpp
@@ -70,7 +70,22 @@
          {"waited_ms", std::to_string(decision.elapsed.count())},
          {"lease_left_ms", std::to_string(decision.lease_left.count())},
          {"mark_age_ms", std::to_string(decision.watermark_age.count())},
-         {"routing", std::to_string(decision.routing_version)}});
+         {"routing", std::to_string(decision.routing_version)},
+         {"cause", std::string(pooling::refusal_cause_names[decision.cause])},
+         {"workspace", std::string(decision.workspace)},
+         {"priority", std::to_string(decision.priority)},
+         {"queued_of_priority", std::to_string(decision.queued_of_priority)},
+         {"queued_of_workspace", std::to_string(decision.queued_of_workspace)},
+         {"window", std::to_string(decision.window)}});
+    if (decision.kind == pooling::decision_kind::refused)
+        m_metrics.count("refusal_causes",
+                        pooling::refusal_cause_names[decision.cause]);
+    if (decision.kind == pooling::decision_kind::queued)
+    {
+        m_metrics.count("queued_by_priority",
+                        std::to_string(decision.priority));
+        m_metrics.count("queued_by_workspace", decision.workspace);
+    }
     if (decision.kind != pooling::decision_kind::placed &&
         decision.kind != pooling::decision_kind::forwarded &&
         decision.kind != pooling::decision_kind::committed)
--- a/src/plantainward/pooling/placement.cpp
+++ b/src/plantainward/pooling/placement.cpp
@@ -73,7 +73,7 @@
     if (!service.has_primary(now))
         return std::nullopt;
     const auto found = service.upstreams.find(service.primary);
-    if (found == service.upstreams.end() ||
+    if (found == service.upstreams.end() || found->second.refuses_writes(now) ||
         !is_usable(found->second, work, now))
         return std::nullopt;
     return placement{service.primary, std::nullopt};
--- a/src/plantainward/pooling/pooler.cpp
+++ b/src/plantainward/pooling/pooler.cpp
@@ -33,7 +33,8 @@
 }
 
 void pooler::report_decision(decision_kind kind, const session& session,
-                             const std::string& upstream, std::string detail)
+                             const std::string& upstream, std::string detail,
+                             refusal_cause cause)
 {
     if (!m_on_decision || !session.current)
         return;
@@ -50,6 +51,9 @@
     report.attempt = work.attempts;
     report.elapsed = in_ms(m_now - work.received);
     report.routing_version = m_routing.version;
+    report.cause = cause;
+    if (kind == decision_kind::queued || kind == decision_kind::refused)
+        add_queue_state(report, session);
     const auto& service = m_services[work.route.service];
     if (service.has_primary(m_now))
         report.lease_left = in_ms(service.primary_until - m_now);
@@ -80,7 +84,7 @@
 void pooler::apply_plan(const connection_plan& plan, upstream_pool& pool)
 {
     pool.set_share(plan.share);
-    pool.set_slow_start(plan.is_shared);
+    pool.set_shared(plan.is_shared);
 }
 
 actions pooler::set_upstreams(const std::vector<routes::upstream>& upstreams,
@@ -379,7 +383,8 @@
     if (session.origin && is_primary_unreachable(*session.current))
         return refuse_on_this_host(session,
                                    "this host does not reach the primary");
-    enqueue(session);
+    if (!reject_on_arrival(session))
+        enqueue(session);
 }
 
 void pooler::reply(session& session, sql::reply answer)
@@ -421,10 +426,10 @@
 }
 
 void pooler::refuse(session& session, core::error_kind kind,
-                    const std::string& text)
+                    const std::string& text, refusal_cause cause)
 {
     report_decision(decision_kind::refused, session, {},
-                    std::string(core::name_of(kind)) + ": " + text);
+                    std::string(core::name_of(kind)) + ": " + text, cause);
     if (session.transaction && !is_commit(*session.current))
         fail_transaction(session, true);
     finish(session, error_reply(session, kind, text));
@@ -468,6 +473,8 @@
     return_remote_work();
     refuse_waiting_for_withdrawn_primaries();
     drop_surplus_connections();
+    reject_hopeless();
+    end_longest_rests();
     serve_queue();
     probe_silent_upstreams();
     return collect_actions();
--- a/src/plantainward/pooling/pooler.hpp
+++ b/src/plantainward/pooling/pooler.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <plantainward/core/boot_clock.hpp>
+#include <plantainward/core/enum_names.hpp>
 #include <plantainward/core/time.hpp>
 #include <plantainward/pooling/action.hpp>
 #include <plantainward/pooling/service_view.hpp>
@@ -32,6 +33,25 @@
     committed
 };
 
+/// Why a statement was refused, for metrics.
+enum class refusal_cause : std::uint8_t
+{
+    other,
+    /// On its arrival, the work that was queued left no time for it.
+    no_time_on_arrival,
+    /// While it waited, other work with precedence left no time for it.
+    no_time_left,
+    /// It waited until its limit.
+    waited_too_long,
+    /// The service's retries were used up.
+    no_retries_left
+};
+
+/// Names of the causes in logs and metrics.
+inline constexpr core::enum_names<refusal_cause, 5> refusal_cause_names{
+    {"other", "no_time_on_arrival", "no_time_left", "waited_too_long",
+     "no_retries_left"}};
+
 /// A decision about one statement with the inputs that led to it, for logs.
 struct decision
 {
@@ -49,6 +69,17 @@
     /// Age of the newest watermark; negative when there is none.
     core::millis watermark_age{-1};
     std::uint64_t routing_version{0};
+    refusal_cause cause{refusal_cause::other};
+    /// Workspace of the operation; empty: none.
+    std::string_view workspace{};
+    int priority{0};
+    /// Waiting statements of the service on this host with the same priority,
+    /// and with the same workspace.
+    std::size_t queued_of_priority{0};
+    std::size_t queued_of_workspace{0};
+    /// Statements that this host may have in flight at the primary; 0 when the
+    /// host does not decide on admission.
+    double window{0};
 };
 
 /// Receives decisions; must not block. The decision is valid during the call.
@@ -231,7 +262,8 @@
     void reply(session& session, sql::reply answer);
     void finish(session& session, sql::reply answer);
     void refuse(session& session, core::error_kind kind,
-                const std::string& text);
+                const std::string& text,
+                refusal_cause cause = refusal_cause::other);
     void fail_transaction(session& session, bool is_reported);
 
     // Statements that other hosts run for this host, and this host for others.
@@ -258,6 +290,24 @@
     bool try_start(session& session);
     void end_expired_work();
 
+    // Admission.
+    candidate candidate_of(const session& session);
+    service_rank rank_of_waiting(const session& session);
+    std::vector<session_id> waiting_in_order(const std::string& service,
+                                             bool needs_primary,
+                                             session_id except);
+    double service_rate(const service_view& service, bool needs_primary) const;
+    double expected_ms(const service_view& service, const work& work) const;
+    bool may_serve(const std::string& service,
+                   std::map<std::string, bool>& known);
+    bool reject_on_arrival(session& session);
+    void reject_hopeless();
+    void record_start(const session& session);
+    bool may_retry(const session& session);
+    void end_longest_rests();
+    void end_rests_at(const std::string& service, const upstream_pool& pool);
+    void add_queue_state(decision& report, const session& session);
+
     // Connections.
     static void apply_plan(const connection_plan& plan, upstream_pool& pool);
     connection* find(connection_id id);
@@ -289,7 +339,8 @@
     void probe_silent_upstreams();
     void drop_surplus_connections();
     void report_decision(decision_kind kind, const session& session,
-                         const std::string& upstream, std::string detail);
+                         const std::string& upstream, std::string detail,
+                         refusal_cause cause = refusal_cause::other);
     actions collect_actions();
 
     pooler_options m_options;
--- a/src/plantainward/pooling/pooler_connections.cpp
+++ b/src/plantainward/pooling/pooler_connections.cpp
@@ -203,6 +203,13 @@
     if (refusal == sql::refusal::malformed || refusal == sql::refusal::failed)
         return refuse(session, error_kind_of(refusal),
                       "the database refused the statement");
+    if (refusal == sql::refusal::read_only && refusing_pool != databases.end())
+        refusing_pool->second.record_not_primary(m_now);
+    if (!may_retry(session))
+        return refuse(session, core::error_kind::overloaded,
+                      "the database did not run it, and there is no time or "
+                      "retry left",
+                      refusal_cause::no_retries_left);
     enqueue(session);
     serve_queue();
 }
@@ -359,9 +366,15 @@
         return handle_statement_error(connection, session, std::move(answer));
     auto& service = *service_of(connection.id);
     pool_of(connection.id)->count_overtaken(connection.sent_at);
+    const auto duration =
+        std::chrono::duration_cast<core::millis>(m_now - connection.sent_at);
     pool_of(connection.id)
-        ->record_duration(std::chrono::duration_cast<core::millis>(
-            m_now - connection.sent_at));
+        ->record_duration(work.route.database, duration, m_now);
+    if (work.is_unrepeatable)
+        pool_of(connection.id)->record_write();
+    service.retries.record_success();
+    service.shares.record_use(session.workspace,
+                              static_cast<double>(duration.count()), m_now);
     if (work.after)
         pool_of(connection.id)->clear_missing_point();
     if (work.at_primary && answer.position)
--- a/src/plantainward/pooling/pooler_queue.cpp
+++ b/src/plantainward/pooling/pooler_queue.cpp
@@ -59,19 +59,27 @@
 // under overload, a queue served in order of arrival makes all of them late.
 void pooler::serve_queue()
 {
-    const auto waiting = m_queue;
-    for (const bool in_time : {true, false})
+    std::vector<std::pair<service_rank, session_id>> waiting;
+    std::map<std::string, bool> can_serve;
+    for (const auto id : m_queue)
     {
-        for (const auto id : waiting)
-        {
-            const auto found = m_sessions.find(id);
-            if (found == m_sessions.end() || !found->second.current ||
-                !is_waiting_for_upstream(*found->second.current) ||
-                is_within_target(found->second) != in_time)
-                continue;
-            if (try_start(found->second))
-                std::erase(m_queue, id);
-        }
+        const auto found = m_sessions.find(id);
+        if (found != m_sessions.end() && found->second.current &&
+            may_serve(found->second.current->route.service, can_serve))
+            waiting.emplace_back(rank_of_waiting(found->second), id);
+    }
+    const auto by_rank = [](const auto& a, const auto& b) {
+        return a.first < b.first;
+    };
+    std::stable_sort(waiting.begin(), waiting.end(), by_rank);
+    for (const auto& [rank, id] : waiting)
+    {
+        const auto found = m_sessions.find(id);
+        if (found == m_sessions.end() || !found->second.current ||
+            !is_waiting_for_upstream(*found->second.current))
+            continue;
+        if (try_start(found->second))
+            std::erase(m_queue, id);
     }
 }
 
@@ -102,6 +110,7 @@
                     chosen->after
                         ? "after " + upstream::to_string(*chosen->after)
                         : std::string());
+    record_start(session);
     auto& pool = service.upstreams.at(chosen->upstream);
     auto* connection = pool.idle_connection(session.values);
     if (connection == nullptr)
@@ -167,7 +176,8 @@
         if (is_waiting_for_upstream(*session.current))
         {
             refuse(session, core::error_kind::overloaded,
-                   "no database could run it in time");
+                   "no database could run it in time",
+                   refusal_cause::waited_too_long);
             continue;
         }
         if (session.current->forwarded)
--- a/src/plantainward/pooling/service_view.hpp
+++ b/src/plantainward/pooling/service_view.hpp
@@ -2,7 +2,10 @@
 
 #include <plantainward/core/boot_clock.hpp>
 #include <plantainward/freshness/watermark_log.hpp>
+#include <plantainward/pooling/admission.hpp>
+#include <plantainward/pooling/retry_budget.hpp>
 #include <plantainward/pooling/upstream_pool.hpp>
+#include <plantainward/pooling/workspace_shares.hpp>
 
 #include <cstddef>
 #include <map>
@@ -34,6 +37,12 @@
     connection_plan plan;
     std::map<std::string, upstream_pool> upstreams;
     freshness::watermark_log watermarks;
+    /// Admission of statements that only the primary can run, and of others.
+    admission primary_admission{};
+    admission read_admission{};
+    /// Slot time of the workspaces at all databases of the service.
+    workspace_shares shares{};
+    retry_budget retries{};
     /// Id of the recorded primary; empty when none may be used.
     std::string primary;
     /// End of the lease under which this host may use the primary.
@@ -45,6 +54,13 @@
     std::string last_primary;
     core::boot_instant primary_since{};
 
+    /// Whether this host decides on the admission of statements: it runs them
+    /// on connections that are divided among a few hosts.
+    bool has_admission() const
+    {
+        return plan.is_shared && plan.delegates.empty();
+    }
+
     /// Whether this host may use a primary now.
     bool has_primary(core::boot_instant now) const
     {
--- a/src/plantainward/pooling/upstream_pool.cpp
+++ b/src/plantainward/pooling/upstream_pool.cpp
@@ -1,6 +1,7 @@
 #include <plantainward/pooling/upstream_pool.hpp>
 
 #include <algorithm>
+#include <cmath>
 
 namespace plantainward::pooling
 {
@@ -86,6 +87,12 @@
     return found == m_connections.end() ? nullptr : &found->second;
 }
 
+const connection* upstream_pool::find(connection_id id) const
+{
+    const auto found = m_connections.find(id);
+    return found == m_connections.end() ? nullptr : &found->second;
+}
+
 connection* upstream_pool::idle_connection(const session_values& values)
 {
     connection* best = nullptr;
@@ -105,19 +112,37 @@
 {
     if (m_connections.size() >= m_share || now < m_no_open_before)
         return false;
-    const auto opening = opening_count();
+    const auto opening = count(connection_stage::opening);
     // After a failure, connections are opened one at a time.
     if (m_failures > 0 && opening > 0)
         return false;
     return m_budget.may_open(m_connections.size() - opening, opening, now);
 }
 
-std::size_t upstream_pool::opening_count() const
+std::size_t upstream_pool::count(connection_stage stage) const
 {
-    return static_cast<std::size_t>(std::count_if(
-        m_connections.begin(), m_connections.end(), [](const auto& connection) {
-            return connection.second.stage == connection_stage::opening;
-        }));
+    return static_cast<std::size_t>(
+        std::count_if(m_connections.begin(), m_connections.end(),
+                      [stage](const auto& connection) {
+                          return connection.second.stage == stage;
+                      }));
+}
+
+double upstream_pool::statements_per_ms(core::boot_instant now) const
+{
+    const auto opening = count(connection_stage::opening);
+    const auto open = m_connections.size() - opening;
+    const auto reserved = count(connection_stage::pinned) +
+                          count(connection_stage::rolling_back) +
+                          count(connection_stage::probing);
+    const auto reachable =
+        m_budget.may_open(open, 0, now) ? std::max(m_share, open) : open;
+    if (open == 0 || reachable <= reserved)
+        return 0;
+    const auto in_flight = std::min(static_cast<double>(reachable - reserved),
+                                    std::floor(m_window.limit()));
+    return std::max(in_flight / std::max(1.0, m_expected_ms),
+                    m_window.answers_per_ms(now));
 }
 
 void upstream_pool::delay_first_probe(core::boot_instant now)
@@ -130,8 +155,7 @@
 {
     if (now < m_no_send_before)
         return false;
-    if (m_send_limit > 0 &&
-        static_cast<double>(busy_count() + 1) > std::max(1.0, m_send_limit))
+    if (!may_send_another() || (m_is_shared && m_busy_pause.is_active(now)))
         return false;
     const bool has_idle = std::any_of(
         m_connections.begin(), m_connections.end(), [](const auto& connection) {
@@ -140,6 +164,16 @@
     return has_idle || may_open(now);
 }
 
+bool upstream_pool::may_send_another() const
+{
+    const auto busy = busy_count();
+    if (m_is_shared)
+        return !(m_busy_pause.is_trying() && busy > 0) &&
+               static_cast<double>(busy + 1) <= m_window.limit();
+    return m_send_limit <= 0 ||
+           static_cast<double>(busy + 1) <= std::max(1.0, m_send_limit);
+}
+
 connection& upstream_pool::add(connection_id id, core::boot_instant now)
 {
     auto& new_connection = m_connections[id];
@@ -183,7 +217,8 @@
 void upstream_pool::record_refused_opening(core::boot_instant sent,
                                            core::boot_instant now)
 {
-    m_budget.record_refused(m_connections.size() - opening_count(), sent, now);
+    m_budget.record_refused(
+        m_connections.size() - count(connection_stage::opening), sent, now);
 }
 
 void upstream_pool::record_busy(core::boot_instant now)
@@ -191,6 +226,14 @@
     const auto sent = static_cast<double>(busy_count());
     m_send_limit = std::max(1.0, std::max(sent, m_send_limit) * busy_decrease);
     m_no_send_before = now + busy_pause;
+    m_window.record_busy(busy_count(), now);
+    m_busy_pause.record_refusal(now);
+}
+
+void upstream_pool::record_not_primary(core::boot_instant now)
+{
+    if (m_is_shared)
+        m_write_pause.record_refusal(now);
 }
 
 std::optional<core::boot_instant> upstream_pool::oldest_unanswered() const
@@ -288,8 +331,12 @@
     return lost;
 }
 
-void upstream_pool::record_duration(core::millis time)
+void upstream_pool::record_duration(std::string_view route, core::millis time,
+                                    core::boot_instant now)
 {
+    m_busy_pause.end();
+    m_window.record_answer(route, static_cast<double>(time.count()),
+                           busy_count(), now);
     m_expected_ms +=
         time_weight * (static_cast<double>(time.count()) - m_expected_ms);
     m_no_send_before = {};
--- a/src/plantainward/pooling/upstream_pool.hpp
+++ b/src/plantainward/pooling/upstream_pool.hpp
@@ -4,6 +4,8 @@
 #include <plantainward/core/time.hpp>
 #include <plantainward/pooling/connection.hpp>
 #include <plantainward/pooling/connection_budget.hpp>
+#include <plantainward/pooling/flight_window.hpp>
+#include <plantainward/pooling/refusal_pause.hpp>
 #include <plantainward/routes/routing.hpp>
 
 #include <cstddef>
@@ -24,7 +26,8 @@
     upstream_pool(routes::upstream registration, core::millis leaving_grace,
                   std::string_view host = {})
         : m_registration(std::move(registration)),
-          m_leaving_grace(leaving_grace), m_budget(host, m_registration.id)
+          m_leaving_grace(leaving_grace), m_budget(host, m_registration.id),
+          m_busy_pause(m_budget.seed()), m_write_pause(m_budget.seed())
     {
     }
 
@@ -50,13 +53,29 @@
     void set_share(std::size_t share) { m_share = share; }
     std::size_t share() const { return m_share; }
 
-    /// Limits the first openings where a few hosts hold the connections.
-    void set_slow_start(bool enabled) { m_budget.set_slow_start(enabled); }
+    /// Sets whether only a few hosts hold the connections. Then the first
+    /// openings are limited, and statements in flight are limited by the
+    /// database's delay.
+    void set_shared(bool is_shared)
+    {
+        m_is_shared = is_shared;
+        m_budget.set_slow_start(is_shared);
+    }
 
     /// Delays the first probe of a host that only watches the database; a
     /// doubted database is probed at once all the same.
     void delay_first_probe(core::boot_instant now);
 
+    /// Limit of the statements in flight; used while the pool is shared.
+    const flight_window& window() const { return m_window; }
+
+    /// Statements that the database is expected to complete for this host in a
+    /// millisecond; 0 when no connection can be used.
+    double statements_per_ms(core::boot_instant now) const;
+
+    /// Number of connections of a stage.
+    std::size_t count(connection_stage stage) const;
+
     /// What the database's refusals allow this host to open.
     const connection_budget& budget() const { return m_budget; }
 
@@ -68,6 +87,7 @@
     }
     /// A connection of this pool; null when there is none with this id.
     connection* find(connection_id id);
+    const connection* find(connection_id id) const;
 
     /// An idle connection, preferably one that holds these session values; null
     /// when there is none.
@@ -98,6 +118,19 @@
     /// that run there at a time and pauses before the next one.
     void record_busy(core::boot_instant now);
 
+    /// The database refused a write because it is not the primary; statements
+    /// that need the primary pause.
+    void record_not_primary(core::boot_instant now);
+    /// The database ran a write.
+    void record_write() { m_write_pause.end(); }
+    /// Whether the database has just refused a write; after a pause, one
+    /// statement tries it.
+    bool refuses_writes(core::boot_instant now) const
+    {
+        return m_write_pause.is_active(now) ||
+               (m_write_pause.is_trying() && busy_count() > 0);
+    }
+
     /// A connection was closed because the database did not answer; the
     /// database is suspected until it sends something.
     void record_silence() { m_was_silent = true; }
@@ -138,21 +171,26 @@
     /// other connections were answered or the database is suspected.
     std::vector<connection_id> lost_answers(core::boot_instant now) const;
 
-    /// A statement succeeded after this time; updates the expected time and
-    /// raises the limit of concurrent statements.
-    void record_duration(core::millis time);
+    /// A statement of a route succeeded after this time; updates the expected
+    /// time and raises the limit of concurrent statements.
+    void record_duration(std::string_view route, core::millis time,
+                         core::boot_instant now);
     /// Moving average of the time of one statement, in milliseconds.
     double expected_ms() const { return m_expected_ms; }
 
 private:
     std::optional<core::boot_instant> oldest_unanswered() const;
-    std::size_t opening_count() const;
+    bool may_send_another() const;
 
     routes::upstream m_registration;
     core::millis m_leaving_grace;
     std::optional<core::boot_instant> m_leaving_since;
     std::size_t m_share{1};
     connection_budget m_budget;
+    bool m_is_shared{false};
+    flight_window m_window;
+    refusal_pause m_busy_pause;
+    refusal_pause m_write_pause;
     core::boot_instant m_no_idle_probe_before{};
     std::map<connection_id, connection> m_connections;
     core::boot_instant m_last_contact{};
