--- a/src/plantainward/pooling/balancer.hpp
+++ b/src/plantainward/pooling/balancer.hpp
@@ -17,8 +17,8 @@
 /// corrected by the average of other hosts' reports. The sum of all reported
 /// statements is not used: hosts that follow the same old report all move to
 /// the same database (docs/design/even-load.md). A database of the own failure
-/// domain is preferred while its cost is not much higher. The class has no clock and no
-/// random source.
+/// domain is preferred while its cost is not much higher. The class has no
+/// clock and no random source.
 class balancer
 {
 public:
--- a/src/plantainward/pooling/pooler.cpp
+++ b/src/plantainward/pooling/pooler.cpp
@@ -57,7 +57,8 @@
 }
 
 void pooler::report_decision(decision_kind kind, const session& session,
-                             const std::string& upstream, std::string detail)
+                             const std::string& upstream, std::string detail,
+                             refusal_cause cause)
 {
     if (!m_on_decision || !session.current)
         return;
@@ -74,6 +75,9 @@
     report.attempt = work.attempts;
     report.elapsed = in_ms(m_now - work.received);
     report.routing_version = m_routing.version;
+    report.cause = cause;
+    if (kind == decision_kind::queued || kind == decision_kind::refused)
+        add_queue_state(report, session);
     const auto& service = m_services[work.route.service];
     if (service.has_primary(m_now))
         report.lease_left = in_ms(service.primary_until - m_now);
@@ -106,7 +110,7 @@
 void pooler::apply_plan(const connection_plan& plan, upstream_pool& pool)
 {
     pool.set_share(plan.share);
-    pool.set_slow_start(plan.is_shared);
+    pool.set_shared(plan.is_shared);
 }
 
 actions pooler::set_upstreams(const std::vector<routes::upstream>& upstreams,
@@ -235,7 +239,7 @@
     if (m_routing.has_workspaces && !route->is_public &&
         m_routing.find_workspace(key_digest) == nullptr)
     {
-        report_refusal(refusal_cause::unknown_key, {});
+        report_refusal(identity_refusal_cause::unknown_key, {});
         return open_result::unknown_key;
     }
     auto& session = m_sessions[id];
@@ -434,7 +438,8 @@
     if (session.origin && is_primary_unreachable(*session.current))
         return refuse_on_this_host(session,
                                    "this host does not reach the primary");
-    enqueue(session);
+    if (!reject_on_arrival(session))
+        enqueue(session);
 }
 
 void pooler::reply(session& session, sql::reply answer)
@@ -480,10 +485,10 @@
 }
 
 void pooler::refuse(session& session, core::error_kind kind,
-                    const std::string& text)
+                    const std::string& text, refusal_cause cause)
 {
     report_decision(decision_kind::refused, session, {},
-                    std::string(core::name_of(kind)) + ": " + text);
+                    std::string(core::name_of(kind)) + ": " + text, cause);
     if (session.transaction && !is_commit(*session.current))
         fail_transaction(session, true);
     finish(session, error_reply(session, kind, text));
@@ -533,6 +538,8 @@
     refuse_waiting_for_withdrawn_primaries();
     drop_surplus_connections();
     drop_unused_connections();
+    reject_hopeless();
+    end_longest_rests();
     serve_queue();
     probe_silent_upstreams();
     return collect_actions();
--- a/src/plantainward/pooling/pooler_identity.cpp
+++ b/src/plantainward/pooling/pooler_identity.cpp
@@ -47,8 +47,8 @@
     const bool is_valid = has_valid_identity(session);
     if (!is_valid)
         report_refusal(session.workspace.empty() && !session.transaction
-                           ? refusal_cause::unknown_key
-                           : refusal_cause::withdrawn_key,
+                           ? identity_refusal_cause::unknown_key
+                           : identity_refusal_cause::withdrawn_key,
                        session.workspace);
     if (!is_valid && session.transaction)
     {
@@ -65,7 +65,8 @@
     }
     if (lacks_proof(session))
     {
-        report_refusal(refusal_cause::routing_not_proved, session.workspace);
+        report_refusal(identity_refusal_cause::routing_not_proved,
+                       session.workspace);
         refuse_identity(session, statement, core::error_kind::overloaded,
                         "this host can't prove that its configuration is "
                         "current");
@@ -124,14 +125,16 @@
             refused.push_back(id);
         else if (session.transaction)
         {
-            report_refusal(refusal_cause::withdrawn_key, session.workspace);
+            report_refusal(identity_refusal_cause::withdrawn_key,
+                           session.workspace);
             fail_transaction(session, false);
         }
     }
     for (const auto id : refused)
     {
         auto& session = m_sessions.at(id);
-        report_refusal(refusal_cause::withdrawn_key, session.workspace);
+        report_refusal(identity_refusal_cause::withdrawn_key,
+                       session.workspace);
         refuse(session,
                session.transaction ? core::error_kind::transaction_lost
                                    : core::error_kind::unauthenticated,
@@ -139,7 +142,8 @@
     }
 }
 
-void pooler::report_refusal(refusal_cause cause, const std::string& workspace)
+void pooler::report_refusal(identity_refusal_cause cause,
+                            const std::string& workspace)
 {
     if (!m_on_refusal)
         return;
--- a/tests/pooling/identity_tests.cpp
+++ b/tests/pooling/identity_tests.cpp
@@ -64,7 +64,7 @@
         return id;
     }
 
-    std::vector<refusal_cause> refusals;
+    std::vector<identity_refusal_cause> refusals;
 };
 
 } // namespace
@@ -80,8 +80,8 @@
     CHECK(c.open_with(2, "cards", "") == open_result::unknown_key);
     CHECK(c.open_with(3, "nothing", "k") == open_result::unknown_database);
     LONGS_EQUAL(0, c.pool.session_count());
-    CHECK((c.refusals == std::vector{refusal_cause::unknown_key,
-                                     refusal_cause::unknown_key}));
+    CHECK((c.refusals == std::vector{identity_refusal_cause::unknown_key,
+                                     identity_refusal_cause::unknown_key}));
 }
 
 TEST(identity,
@@ -96,8 +96,8 @@
     CHECK(c.last_reply().state == transaction_state::idle);
     LONGS_EQUAL(0, c.opened.size());
     LONGS_EQUAL(1, c.pool.session_count());
-    CHECK((c.refusals == std::vector{refusal_cause::withdrawn_key,
-                                     refusal_cause::withdrawn_key}));
+    CHECK((c.refusals == std::vector{identity_refusal_cause::withdrawn_key,
+                                     identity_refusal_cause::withdrawn_key}));
 }
 
 TEST(identity, a_workspace_that_is_removed_and_put_back_is_served_again)
@@ -254,7 +254,7 @@
     CHECK(c.last_reply().error == error_kind::overloaded);
     LONGS_EQUAL(1, c.opened.size());
     LONGS_EQUAL(3, c.refusals.size());
-    CHECK(c.refusals.back() == refusal_cause::routing_not_proved);
+    CHECK(c.refusals.back() == identity_refusal_cause::routing_not_proved);
     // The session is served again with the next proof.
     c.pool.set_routing_proof(c.now);
     c.submit(1, statement_kind::begin, "BEGIN");
