Report the statements in flight on heartbeats between holders

Cause: the balancer had an input for the reports of other holders, but nothing filled it.

Change: the status of a service in a heartbeat has one byte for each database (at most 8), only for services with few holders and only if both ends are holders; otherwise one empty byte. Format 0x5035. The receiver uses it only with the same version of the list of databases, and dates it by the echo on its boot clock. No new messages. Holders that do not vote exchange no heartbeats, so they get no reports of each other.

No test plays the exchange between two hosts of a fleet.

--- a/src/plantainward/entry/entry_host.hpp
+++ b/src/plantainward/entry/entry_host.hpp
@@ -302,6 +302,8 @@
                    entry_actions& out);
     std::set<std::string> heartbeat_targets(core::boot_instant now) const;
     bool must_report(const std::string& service, const std::string& peer) const;
+    bool exchanges_load(const std::string& service,
+                        const std::string& peer) const;
     fleet::service_status service_status_of(const std::string& service,
                                             core::boot_instant now) const;
     void add_claim_actions(const std::string& service,
--- a/src/plantainward/entry/entry_host_fleet.cpp
+++ b/src/plantainward/entry/entry_host_fleet.cpp
@@ -120,6 +120,9 @@
         ((!m_may_claim || is_behind) && !service_succession.running_claim());
     status.suspects_primary =
         m_pooler.is_suspected(service, record.primary, now);
+    status.in_flight = m_pooler.in_flight_by_database(service);
+    if (status.in_flight.size() > fleet::max_reported_databases)
+        status.in_flight.clear();
     if (const auto proved_at = service_succession.lease().proved_at())
         status.proof_age_ms = age_in_ms(now, *proved_at);
     const auto watermark = m_pooler.newest_watermark(service);
@@ -172,6 +175,17 @@
                service_succession.lease().record().version;
 }
 
+// Whether this host and the peer both run statements of a service whose
+// connections few hosts hold.
+bool entry_host::exchanges_load(const std::string& service,
+                                const std::string& peer) const
+{
+    const auto found = m_holders.find(service);
+    return found != m_holders.end() && !found->second.all_hosts_hold &&
+           found->second.is_holder(m_identity.name) &&
+           found->second.is_holder(peer);
+}
+
 void entry_host::send_heartbeat(
     const std::string& peer,
     const std::map<std::string, fleet::service_status>& statuses,
@@ -189,6 +203,8 @@
             continue;
         auto& sent_status = message.services[fleet::key_of(service)];
         sent_status = status;
+        if (!exchanges_load(service, peer))
+            sent_status.in_flight.clear();
         if (has_record)
             sent_status.record = m_successions.at(service).lease().record();
     }
@@ -240,6 +256,13 @@
             // The sender does not know yet that this host has the record.
             m_awaiting_acknowledgement[heartbeat->host].insert(key);
         }
+        // The order of the databases is the same only with the same list.
+        if (!status.in_flight.empty() &&
+            peer.confirmed_at != core::boot_instant{} &&
+            heartbeat->upstreams_version == m_upstreams_version &&
+            exchanges_load(service, heartbeat->host))
+            m_pooler.add_load_report(service, heartbeat->host, status.in_flight,
+                                     peer.confirmed_at);
         // Hosts that run statements notice a lost primary first; the others
         // would notice it only at their next idle probe.
         const auto& record = m_successions.at(service).lease().record();
--- a/src/plantainward/fleet/heartbeat.cpp
+++ b/src/plantainward/fleet/heartbeat.cpp
@@ -16,7 +16,7 @@
 {
 
 // Identifies the format of heartbeats; any other one is refused.
-constexpr std::uint16_t format = 0x5034;
+constexpr std::uint16_t format = 0x5035;
 
 // Maximal length of a name in a heartbeat.
 constexpr std::size_t max_name_bytes = 200;
@@ -57,6 +57,18 @@
     archive(primary, writer);
 }
 
+// One byte for the size, and one for each database.
+template <class Archive>
+void archive_load(Archive& archive, std::vector<std::uint8_t>& in_flight)
+{
+    auto size = static_cast<std::uint8_t>(
+        std::min(in_flight.size(), max_reported_databases));
+    archive(size);
+    in_flight.resize(std::min<std::size_t>(size, max_reported_databases));
+    for (auto& count : in_flight)
+        archive(count);
+}
+
 template <class Archive>
 void archive_status(Archive& archive, service_status& status)
 {
@@ -66,6 +78,7 @@
             status.watermark_age_ms, status.proof_age_ms);
     if (status.watermark_age_ms >= 0)
         archive(status.watermark);
+    archive_load(archive, status.in_flight);
     if (!has_record)
         return;
     if (!status.record)
--- a/src/plantainward/fleet/heartbeat.hpp
+++ b/src/plantainward/fleet/heartbeat.hpp
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace plantainward::fleet
 {
@@ -40,8 +41,16 @@
     /// Age of the sender's proof that the record is current, when the heartbeat
     /// was made; negative: none.
     std::int16_t proof_age_ms{-1};
+    /// Statements that the sender has in flight at each database of the
+    /// service, in the order of the databases' ids; at most 255 each. Only
+    /// between hosts that hold the connections of the service, and empty for
+    /// services with too many databases.
+    std::vector<std::uint8_t> in_flight;
 };
 
+/// Maximal number of databases of a service whose load a heartbeat reports.
+inline constexpr std::size_t max_reported_databases = 8;
+
 /// A periodic datagram from one host to another.
 struct heartbeat
 {
--- a/src/plantainward/pooling/pooler.hpp
+++ b/src/plantainward/pooling/pooler.hpp
@@ -140,6 +140,17 @@
     std::optional<freshness::watermark>
     newest_watermark(const std::string& service) const;
 
+    /// Statements of this host in flight at each database of a service, in the
+    /// order of the databases' ids; larger numbers are reported as 255. Empty
+    /// for a service that every host holds connections to.
+    std::vector<std::uint8_t>
+    in_flight_by_database(const std::string& service) const;
+    /// Another host has reported its statements in flight, in the same order
+    /// and no earlier than `at`; ignored when the number of databases differs.
+    void add_load_report(const std::string& service, const std::string& host,
+                         const std::vector<std::uint8_t>& in_flight,
+                         core::boot_instant at);
+
     /// Another host gets no answer from a database; this host probes it at the
     /// next `tick` unless it has just heard from it.
     void doubt(const std::string& service, const std::string& upstream,
--- a/tests/fleet/fleet_view_tests.cpp
+++ b/tests/fleet/fleet_view_tests.cpp
@@ -147,6 +147,7 @@
     status.watermark_age_ms = 250;
     status.record = succession::leadership{
         9, succession::leadership_phase::settled, "i-1", 55, "host"};
+    status.in_flight = {3, 0, 255};
     const auto received = decode_heartbeat(encode(sent));
     CHECK(received.has_value());
     STRCMP_EQUAL("a", received->host.c_str());
@@ -157,6 +158,7 @@
     LONGS_EQUAL(77, received_status.watermark.position);
     LONGS_EQUAL(250, received_status.watermark_age_ms);
     CHECK(received_status.record == status.record);
+    CHECK(received_status.in_flight == status.in_flight);
 }
 
 TEST(heartbeat, a_heartbeat_without_records_is_small)
@@ -164,6 +166,18 @@
     CHECK(encode(heartbeat_of("front-skt-a-12", 3, 4, 9)).size() < 100);
 }
 
+TEST(heartbeat, the_number_of_reported_databases_is_bounded)
+{
+    auto sent = heartbeat_of("a", 3, 4, 9);
+    const auto size = encode(sent).size();
+    sent.services.at(key_of(service)).in_flight.assign(500, 7);
+    const auto bytes = encode(sent);
+    LONGS_EQUAL(size + max_reported_databases, bytes.size());
+    const auto received = decode_heartbeat(bytes);
+    LONGS_EQUAL(max_reported_databases,
+                received->services.at(key_of(service)).in_flight.size());
+}
+
 TEST(heartbeat, decoding_damaged_bytes_fails_or_returns_a_heartbeat)
 {
     std::mt19937 random(7);
--- a/tests/pooling/balancer_tests.cpp
+++ b/tests/pooling/balancer_tests.cpp
@@ -2,6 +2,8 @@
 #include <plantainward/pooling/database_load.hpp>
 #include <plantainward/pooling/load_reports.hpp>
 
+#include <support/pooler_case.hpp>
+
 #include <vector>
 
 #include <CppUTest/TestHarness.h>
@@ -144,3 +146,33 @@
     candidates[1].is_in_own_domain = false;
     LONGS_EQUAL(1, *balancer::choose(candidates, 1));
 }
+
+TEST(balancer, a_host_reports_what_it_has_in_flight_at_each_database)
+{
+    support::pooler_case c;
+    c.open_session(1, "cards");
+    c.submit(1, sql::statement_kind::read, "READ a");
+    c.complete_open();
+    CHECK(c.pool.in_flight_by_database("ledger").empty());
+    c.pool.set_plan("ledger", {2, {}, {}, true});
+    CHECK((c.pool.in_flight_by_database("ledger") ==
+           std::vector<std::uint8_t>{1, 0}));
+    CHECK(c.pool.in_flight_by_database("unknown").empty());
+}
+
+TEST(balancer, a_report_of_another_number_of_databases_is_ignored)
+{
+    // Failure: the sender knew another list of databases, and its counts were
+    // taken for those of other databases.
+    support::pooler_case c;
+    c.pool.set_plan("ledger", {2, {}, {}, true});
+    c.pool.add_watermark("ledger", {c.now - millis(200), {1, 42}});
+    c.pool.add_load_report("ledger", "other", {0, 200, 0}, c.now);
+    c.open_session(1, "specs");
+    c.submit(1, sql::statement_kind::read, "READ a");
+    STRCMP_EQUAL("r", c.opened.back().upstream.id.c_str());
+    c.pool.add_load_report("ledger", "other", {0, 200}, c.now);
+    c.open_session(2, "specs");
+    c.submit(2, sql::statement_kind::read, "READ a");
+    STRCMP_EQUAL("p", c.opened.back().upstream.id.c_str());
+}
