Weigh the link of a host when holders are chosen

Cause: only processor time counted, so a host with 10 Mbit/s held connections as often as one with 200 Mbit/s and the same processor share.

Change: fleet::member has link_mbps from the setting limits.link_mbps (0: not stated, which keeps the earlier weight); host_score uses the smaller of millicores and 2.5 x Mbit/s.

Evidence: connection_plan_tests: with equal processor shares, the best host of 200 services has the fast link at least 180 times of 200. fleet_tests 43 pass. No test covers the decoding of the setting.

plantainward_poold links. entry_tests not run on this commit.

--- a/src/plantainward/fleet/host_score.cpp
+++ b/src/plantainward/fleet/host_score.cpp
@@ -13,6 +13,11 @@
 namespace
 {
 
+// Processor time that one Mbit/s of a link can keep busy, in thousandths of a
+// core; the ratio of the hosts with 0.5 core and 200 Mbit/s, which both limit
+// alike.
+constexpr double millicores_per_mbps = 2.5;
+
 double score(std::string_view key, std::string_view host, double weight)
 {
     const auto hash = core::placement_hash(key, host);
@@ -25,7 +30,13 @@
 double weight_of(const members& hosts, const std::string& name)
 {
     const auto found = hosts.find(name);
-    return found == hosts.end() ? 1 : std::max(1U, found->second.millicores);
+    if (found == hosts.end())
+        return 1;
+    const auto& host = found->second;
+    const double processor = std::max(1U, host.millicores);
+    if (host.link_mbps == 0)
+        return processor;
+    return std::min(processor, host.link_mbps * millicores_per_mbps);
 }
 
 } // namespace
--- a/tests/fleet/connection_plan_tests.cpp
+++ b/tests/fleet/connection_plan_tests.cpp
@@ -1,4 +1,5 @@
 #include <plantainward/fleet/connection_plan.hpp>
+#include <plantainward/fleet/host_score.hpp>
 
 #include <algorithm>
 #include <map>
@@ -174,3 +175,25 @@
     CHECK(holders.watchers.size() <= 5);
     CHECK_FALSE(holders.watchers.empty());
 }
+
+TEST(connection_plan, a_host_with_a_slow_link_holds_connections_less_often)
+{
+    // Failure: only processor time counted, so a host with 10 Mbit/s was a
+    // holder as often as one with 200 Mbit/s.
+    members listed;
+    std::vector<std::string> names;
+    for (int i = 0; i < 20; ++i)
+    {
+        const auto name = "host-" + std::to_string(i);
+        listed[name].millicores = 500;
+        listed[name].link_mbps = i % 2 == 0 ? 200 : 10;
+        names.push_back(name);
+    }
+    int fast = 0;
+    for (int i = 0; i < 200; ++i)
+        if (listed
+                .at(by_score("service-" + std::to_string(i), names, listed)[0])
+                .link_mbps == 200)
+            ++fast;
+    CHECK(fast >= 180);
+}
