--- a/src/plantainward/entry/host_reports.cpp
+++ b/src/plantainward/entry/host_reports.cpp
@@ -3,6 +3,8 @@
 #include <plantainward/core/enum_names.hpp>
 #include <plantainward/core/error_kind.hpp>
 
+#include <utility>
+
 namespace plantainward::entry
 {
 
@@ -60,17 +62,19 @@
 
 void host_reports::report(const pooling::decision& decision)
 {
-    m_log.write(
-        event_of(decision.kind),
-        {{"request", std::string(decision.request)},
-         {"service", std::string(decision.service)},
-         {"upstream", std::string(decision.upstream)},
-         {"detail", decision.detail},
-         {"attempt", std::to_string(decision.attempt)},
-         {"waited_ms", std::to_string(decision.elapsed.count())},
-         {"lease_left_ms", std::to_string(decision.lease_left.count())},
-         {"mark_age_ms", std::to_string(decision.watermark_age.count())},
-         {"routing", std::to_string(decision.routing_version)}});
+    std::vector<observe::log_field> fields{
+        {"request", std::string(decision.request)},
+        {"service", std::string(decision.service)},
+        {"upstream", std::string(decision.upstream)},
+        {"detail", decision.detail},
+        {"attempt", std::to_string(decision.attempt)},
+        {"waited_ms", std::to_string(decision.elapsed.count())},
+        {"lease_left_ms", std::to_string(decision.lease_left.count())},
+        {"mark_age_ms", std::to_string(decision.watermark_age.count())},
+        {"routing", std::to_string(decision.routing_version)}};
+    if (!decision.workspace.empty())
+        fields.emplace_back("workspace", decision.workspace);
+    m_log.write(event_of(decision.kind), fields);
     if (decision.kind != pooling::decision_kind::placed &&
         decision.kind != pooling::decision_kind::forwarded &&
         decision.kind != pooling::decision_kind::committed)
@@ -92,6 +96,30 @@
                     statement.route.service);
 }
 
+void host_reports::count_quotas(const pooling::pooler& pooler)
+{
+    auto counts = pooler.quota_counts();
+    for (const auto& [workspace, count] : counts)
+    {
+        const auto label = pooler.workspace_labels().of(workspace);
+        const auto& counted = m_quota_counts[workspace];
+        // The counts of a workspace start again when its limit was removed.
+        const auto add = [&](std::string_view name, std::uint64_t value,
+                             std::uint64_t before) {
+            const auto added = value < before ? value : value - before;
+            if (added > 0)
+                m_metrics.count(name, label, added);
+        };
+        add("quota_granted", count.granted, counted.granted);
+        add("quota_returned", count.returned, counted.returned);
+        add("quota_refused", count.over_quota, counted.over_quota);
+        add("quota_no_owner", count.no_owner, counted.no_owner);
+        add("quota_unanswered", count.unanswered, counted.unanswered);
+        add("quota_requests", count.requests, counted.requests);
+    }
+    m_quota_counts = std::move(counts);
+}
+
 void host_reports::attach(entry_host& host)
 {
     host.observe([this](const host_event& event) { report(event); });
--- a/src/plantainward/entry/host_reports.hpp
+++ b/src/plantainward/entry/host_reports.hpp
@@ -4,6 +4,7 @@
 #include <plantainward/observe/event_log.hpp>
 #include <plantainward/observe/metrics.hpp>
 
+#include <map>
 #include <string>
 
 namespace plantainward::entry
@@ -22,6 +23,9 @@
     void report(const pooling::decision& decision);
     void count(const pooling::finished_statement& statement);
 
+    /// Adds what has happened with quotas since the last call.
+    void count_quotas(const pooling::pooler& pooler);
+
     /// Registers as the observer of a host's decisions.
     void attach(entry_host& host);
 
@@ -34,6 +38,8 @@
 private:
     observe::event_log m_log;
     observe::metrics m_metrics;
+    /// Counts that the metrics include.
+    std::map<std::string, quota::quota_counts> m_quota_counts;
 };
 
 } // namespace plantainward::entry
--- a/src/plantainward/pooling/pooler.cpp
+++ b/src/plantainward/pooling/pooler.cpp
@@ -74,6 +74,7 @@
     report.attempt = work.attempts;
     report.elapsed = in_ms(m_now - work.received);
     report.routing_version = m_routing.version;
+    report.workspace = m_workspace_labels.of(session.workspace);
     const auto& service = m_services[work.route.service];
     if (service.has_primary(m_now))
         report.lease_left = in_ms(service.primary_until - m_now);
@@ -458,10 +459,10 @@
 }
 
 void pooler::refuse(session& session, core::error_kind kind,
-                    const std::string& text)
+                    const std::string& text, const std::string& detail)
 {
     report_decision(decision_kind::refused, session, {},
-                    std::string(core::name_of(kind)) + ": " + text);
+                    std::string(core::name_of(kind)) + ": " + text + detail);
     if (session.transaction && !is_commit(*session.current))
         fail_transaction(session, true);
     finish(session, error_reply(session, kind, text));
--- a/src/plantainward/pooling/pooler.hpp
+++ b/src/plantainward/pooling/pooler.hpp
@@ -7,6 +7,7 @@
 #include <plantainward/pooling/session.hpp>
 #include <plantainward/quota/token_ledger.hpp>
 #include <plantainward/quota/token_requester.hpp>
+#include <plantainward/quota/workspace_labels.hpp>
 
 #include <cstddef>
 #include <functional>
@@ -51,6 +52,8 @@
     /// Age of the newest watermark; negative when there is none.
     core::millis watermark_age{-1};
     std::uint64_t routing_version{0};
+    /// Workspace of the caller, or "other"; empty without workspaces.
+    std::string workspace{};
 };
 
 /// Receives decisions; must not block. The decision is valid during the call.
@@ -226,6 +229,11 @@
     {
         return m_tokens.counts();
     }
+    /// Names of workspaces in logs and metrics.
+    const quota::workspace_labels& workspace_labels() const
+    {
+        return m_workspace_labels;
+    }
 
     /// Another host requests tokens; answered by one `grant_tokens_action`.
     actions on_token_request(const std::string& host, std::uint64_t request,
@@ -263,8 +271,9 @@
     void roll_back(session& session);
     void reply(session& session, sql::reply answer);
     void finish(session& session, sql::reply answer);
+    /// The detail is added to the text in logs.
     void refuse(session& session, core::error_kind kind,
-                const std::string& text);
+                const std::string& text, const std::string& detail = {});
     void fail_transaction(session& session, bool is_reported);
 
     // Statements that other hosts run for this host, and this host for others.
@@ -340,6 +349,7 @@
     routes::routing m_routing;
     quota::limits_by_workspace m_quota_limits;
     quota::voter_domains m_quota_voters;
+    quota::workspace_labels m_workspace_labels;
     quota::token_ledger m_ledger;
     quota::token_requester m_tokens;
     std::map<std::string, service_view> m_services;
--- a/src/plantainward/pooling/pooler_quota.cpp
+++ b/src/plantainward/pooling/pooler_quota.cpp
@@ -17,6 +17,7 @@
         if (workspace.quota)
             limits[name] = *workspace.quota;
     m_quota_limits = std::move(limits);
+    m_workspace_labels.set_limits(m_quota_limits);
     m_ledger.set_limits(m_quota_limits, m_now);
     update_quota_owners();
 }
@@ -132,12 +133,14 @@
     session.current->awaits_token = false;
     if (wait.refusal == quota::token_refusal::no_owner)
         return refuse(session, core::error_kind::overloaded,
-                      "no owner of the quota of workspace " +
-                          session.workspace + " answers");
+                      "no owner of the workspace's quota answers");
     refuse(session, core::error_kind::quota_exceeded,
-           "over the quota of workspace " + session.workspace +
-               "; retry after " + std::to_string(wait.retry_after.count()) +
-               " ms");
+           "over the quota of the workspace; retry after " +
+               std::to_string(wait.retry_after.count()) + " ms",
+           "; " + std::to_string(wait.short_owners) + " of " +
+               std::to_string(wait.owners) +
+               " owners have too few tokens, newest answer " +
+               std::to_string(wait.answer_age.count()) + " ms old");
 }
 
 // Ends the wait for a token, or returns the token of an operation that did not
--- a/src/plantainward/quota/token_ledger.cpp
+++ b/src/plantainward/quota/token_ledger.cpp
@@ -79,7 +79,7 @@
         owned_limit owned{
             token_bucket(share, now),    owners.size(), voters_changed, {}, now,
             recent_count(refusal_period)};
-        m_owned.insert_or_assign(workspace, std::move(owned));
+        m_owned.insert_or_assign(workspace, owned);
     }
     std::erase_if(m_owned, [&](const auto& entry) {
         return !still_owned.contains(entry.first);
--- a/src/plantainward/quota/token_requester.cpp
+++ b/src/plantainward/quota/token_requester.cpp
@@ -36,6 +36,9 @@
     std::map<std::string, std::vector<std::string>> owners)
 {
     m_owners = std::move(owners);
+    // With another limit, or another owner, there may be tokens sooner.
+    for (auto& [workspace, state] : m_states)
+        state.owner_waits.clear();
     std::erase_if(m_states, [&](const auto& entry) {
         return !m_owners.contains(entry.first) &&
                entry.second.waiters.empty() && !entry.second.request;
@@ -105,7 +108,7 @@
     if (unused.valid_until - now < min_time_left)
         return;
     auto& state = state_of(workspace);
-    --state.counts.granted;
+    ++state.counts.returned;
     add_tokens(state, 1, unused.valid_until, now);
 }
 
@@ -189,7 +192,9 @@
 {
     settled_wait refused;
     refused.refusal = token_refusal::no_owner;
+    refused.owners = m_owners[workspace].size();
     std::optional<core::boot_instant> retry_at;
+    std::optional<core::boot_instant> newest_answer;
     for (const auto& owner : m_owners[workspace])
     {
         const auto wait = state.owner_waits.find(owner);
@@ -197,12 +202,19 @@
             wait->second.until <= now)
             continue;
         refused.refusal = token_refusal::over_quota;
+        ++refused.short_owners;
+        newest_answer = newest_answer
+                            ? std::max(*newest_answer, wait->second.answered_at)
+                            : wait->second.answered_at;
         retry_at = retry_at ? std::min(*retry_at, wait->second.until)
                             : wait->second.until;
     }
     refused.retry_after = retry_at
                               ? std::chrono::ceil<core::millis>(*retry_at - now)
                               : no_grant_pause;
+    if (newest_answer)
+        refused.answer_age =
+            std::chrono::floor<core::millis>(now - *newest_answer);
     auto& count = refused.refusal == token_refusal::over_quota
                       ? state.counts.over_quota
                       : state.counts.no_owner;
@@ -249,11 +261,11 @@
     const bool is_granted = grant.answer == token_answer::granted;
     const bool is_short = grant.retry_after > core::millis(0);
     if (is_short)
-        state.owner_waits[sent.owner] = {now + grant.retry_after, true};
+        state.owner_waits[sent.owner] = {now + grant.retry_after, now, true};
     else if (is_granted)
         state.owner_waits.erase(sent.owner);
     else
-        state.owner_waits[sent.owner] = {now + no_grant_pause, false};
+        state.owner_waits[sent.owner] = {now + no_grant_pause, now, false};
     // The life of a token is counted from the request, which was sent before
     // the owner granted it: no clocks of two hosts are compared.
     if (is_granted)
--- a/src/plantainward/quota/token_requester.hpp
+++ b/src/plantainward/quota/token_requester.hpp
@@ -5,6 +5,7 @@
 #include <plantainward/quota/recent_count.hpp>
 #include <plantainward/quota/token_grant.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -50,12 +51,20 @@
     token_refusal refusal{token_refusal::over_quota};
     /// Time until a token may be available.
     core::millis retry_after{0};
+    /// Owners that have too few tokens, of all owners.
+    std::size_t short_owners{0};
+    std::size_t owners{0};
+    /// Age of the newest answer that the refusal is based on; negative without
+    /// one.
+    core::millis answer_age{-1};
 };
 
 /// Events of one workspace at this host since its start.
 struct quota_counts
 {
     std::uint64_t granted{0};
+    /// Tokens of operations that did not run.
+    std::uint64_t returned{0};
     std::uint64_t over_quota{0};
     std::uint64_t no_owner{0};
     /// Requests that an owner did not answer in time.
@@ -118,6 +127,7 @@
     struct owner_wait
     {
         core::boot_instant until{};
+        core::boot_instant answered_at{};
         /// It had too few tokens; otherwise it grants nothing.
         bool is_short{false};
     };
--- a/tests/entry/quota_tests.cpp
+++ b/tests/entry/quota_tests.cpp
@@ -149,3 +149,21 @@
     world.run_for(millis(20'000));
     check_bound(world);
 }
+
+// Guards against two owners of one third: the previous one is suspended while
+// it is replaced, and resumes as if nothing had happened.
+TEST(quota, an_owner_that_is_replaced_while_suspended_keeps_the_bound)
+{
+    limited_world world(6);
+    const auto owner = world.owners().front();
+    const auto changes = world.history().voter_changes;
+    world.start_load(millis(4));
+    world.run_for(millis(5000));
+    world.freeze(owner, millis(50'000));
+    world.run_for(millis(45'000));
+    CHECK(world.history().voter_changes > changes);
+    // The new owner grants its third.
+    CHECK(world.started_in(millis(5000)) >= 270);
+    world.run_for(millis(10'000));
+    check_bound(world);
+}
--- a/tests/pooling/pooler_quota_tests.cpp
+++ b/tests/pooling/pooler_quota_tests.cpp
@@ -89,11 +89,21 @@
 
 TEST(pooler_quota, an_operation_over_the_quota_is_refused_with_the_wait)
 {
+    std::string detail;
+    std::string workspace;
+    c.pool.observe(
+        [&](const decision& report) {
+            detail = report.detail;
+            workspace = report.workspace;
+        },
+        {});
     c.run(1, statement_kind::read, "READ a");
     for (int i = 0; i < 3; ++i)
         c.grant(no_tokens);
     LONGS_EQUAL(3, c.requests.size());
     CHECK(c.replies.back().reply.error == error_kind::quota_exceeded);
+    STRCMP_CONTAINS("3 of 3 owners", detail.c_str());
+    STRCMP_EQUAL("shop", workspace.c_str());
     STRCMP_CONTAINS("retry after 250 ms", c.replies.back().reply.text.c_str());
     CHECK(c.opened.empty());
     CHECK_FALSE(c.pool.is_busy());
--- a/tests/quota/token_requester_tests.cpp
+++ b/tests/quota/token_requester_tests.cpp
@@ -104,10 +104,13 @@
     CHECK(!test.settled.back().granted);
     CHECK(test.settled.back().refusal == token_refusal::over_quota);
     CHECK_EQUAL(200, test.settled.back().retry_after.count());
+    CHECK_EQUAL(3, test.settled.back().short_owners);
+    CHECK_EQUAL(0, test.settled.back().answer_age.count());
     test.now += millis(150);
     test.take();
     CHECK_EQUAL(3, test.asks.size());
     CHECK_EQUAL(50, test.settled.back().retry_after.count());
+    CHECK_EQUAL(150, test.settled.back().answer_age.count());
     test.now += millis(50);
     test.take();
     STRCMP_EQUAL("o2", test.asks.back().owner.c_str());
@@ -180,7 +183,9 @@
     test.answer(granted(1));
     test.requester.give_back("shop", *test.settled.back().granted, test.now);
     CHECK(test.take().has_value());
-    CHECK_EQUAL(1, test.requester.counts().at("shop").granted);
+    const auto counts = test.requester.counts().at("shop");
+    CHECK_EQUAL(2, counts.granted);
+    CHECK_EQUAL(1, counts.returned);
 }
 
 TEST(token_requester, an_answer_counts_once)
@@ -214,3 +219,16 @@
     CHECK(test.settled.empty());
     CHECK(test.take().has_value());
 }
+
+// Guards against a workspace that stays refused after its limit was raised.
+TEST(token_requester, asks_again_after_a_change_of_the_limits)
+{
+    requester_case test;
+    test.take();
+    for (int i = 0; i < 3; ++i)
+        test.answer({token_answer::retry_later, 0, millis(3'600'000)});
+    LONGS_EQUAL(1, test.settled.size());
+    test.requester.set_owners({{"shop", {"o1", "o2", "o3"}}});
+    test.take();
+    LONGS_EQUAL(4, test.asks.size());
+}
