--- a/src/plantainward/pooling/pooler.cpp
+++ b/src/plantainward/pooling/pooler.cpp
@@ -78,6 +78,7 @@
     report.cause = cause;
     if (kind == decision_kind::queued || kind == decision_kind::refused)
         add_queue_state(report, session);
+    report.workspace = m_workspace_labels.of(session.workspace);
     const auto& service = m_services[work.route.service];
     if (service.has_primary(m_now))
         report.lease_left = in_ms(service.primary_until - m_now);
@@ -485,10 +486,12 @@
 }
 
 void pooler::refuse(session& session, core::error_kind kind,
-                    const std::string& text, refusal_cause cause)
+                    const std::string& text, refusal_cause cause,
+                    const std::string& detail)
 {
     report_decision(decision_kind::refused, session, {},
-                    std::string(core::name_of(kind)) + ": " + text, cause);
+                    std::string(core::name_of(kind)) + ": " + text + detail,
+                    cause);
     if (session.transaction && !is_commit(*session.current))
         fail_transaction(session, true);
     finish(session, error_reply(session, kind, text));
--- a/src/plantainward/pooling/pooler.hpp
+++ b/src/plantainward/pooling/pooler.hpp
@@ -9,6 +9,7 @@
 #include <plantainward/pooling/session.hpp>
 #include <plantainward/quota/token_ledger.hpp>
 #include <plantainward/quota/token_requester.hpp>
+#include <plantainward/quota/workspace_labels.hpp>
 
 #include <cstddef>
 #include <functional>
@@ -73,8 +74,8 @@
     core::millis watermark_age{-1};
     std::uint64_t routing_version{0};
     refusal_cause cause{refusal_cause::other};
-    /// Workspace of the operation; empty: none.
-    std::string_view workspace{};
+    /// Workspace of the caller, or "other"; empty without workspaces.
+    std::string workspace{};
     int priority{0};
     /// Waiting statements of the service on this host with the same priority,
     /// and with the same workspace.
@@ -320,6 +321,11 @@
     {
         return m_tokens.counts();
     }
+    /// Names of workspaces in logs and metrics.
+    const quota::workspace_labels& workspace_labels() const
+    {
+        return m_workspace_labels;
+    }
 
     /// Another host requests tokens; answered by one `grant_tokens_action`.
     actions on_token_request(const std::string& host, std::uint64_t request,
@@ -357,9 +363,11 @@
     void roll_back(session& session);
     void reply(session& session, sql::reply answer);
     void finish(session& session, sql::reply answer);
+    /// The detail is added to the text in logs.
     void refuse(session& session, core::error_kind kind,
                 const std::string& text,
-                refusal_cause cause = refusal_cause::other);
+                refusal_cause cause = refusal_cause::other,
+                const std::string& detail = {});
     void fail_transaction(session& session, bool is_reported);
 
     // The callers' keys.
@@ -483,6 +491,7 @@
     std::optional<core::boot_instant> m_routing_proof;
     quota::limits_by_workspace m_quota_limits;
     quota::voter_domains m_quota_voters;
+    quota::workspace_labels m_workspace_labels;
     quota::token_ledger m_ledger;
     quota::token_requester m_tokens;
     std::map<std::string, service_view> m_services;
--- a/src/plantainward/pooling/pooler_admission.cpp
+++ b/src/plantainward/pooling/pooler_admission.cpp
@@ -252,7 +252,6 @@
 void pooler::add_queue_state(decision& report, const session& session)
 {
     const auto& work = *session.current;
-    report.workspace = session.workspace;
     report.priority = work.route.priority;
     for (const auto id : m_queue)
     {
