Capacity of a database for any workspace; adapt tests to the merged plan

Merging the admission with the connections by workspace left one question without a workspace: whether any waiting statement may start at a database. It is answered by has_any_capacity. Tests of the balancer pass the flag after the delegations by workspace.

--- a/src/plantainward/pooling/pooler_admission.cpp
+++ b/src/plantainward/pooling/pooler_admission.cpp
@@ -86,7 +86,7 @@
         return found->second;
     const auto& view = m_services[service];
     const auto accepts = [&](const auto& entry) {
-        return entry.second.has_capacity(m_now) ||
+        return entry.second.has_any_capacity(m_now) ||
                entry.second.is_suspected(m_now);
     };
     const bool result =
--- a/src/plantainward/pooling/upstream_pool.cpp
+++ b/src/plantainward/pooling/upstream_pool.cpp
@@ -212,14 +212,23 @@
     m_no_idle_probe_before = now + first_probe_delay + core::millis(jitter_ms);
 }
 
+bool upstream_pool::may_send(core::boot_instant now) const
+{
+    return now >= m_no_send_before && may_send_another() &&
+           !(m_is_shared && m_busy_pause.is_active(now));
+}
+
+bool upstream_pool::has_any_capacity(core::boot_instant now) const
+{
+    return may_send(now) &&
+           (count(connection_stage::idle) > 0 || may_open(now));
+}
+
 bool upstream_pool::has_capacity(std::string_view workspace,
                                  core::boot_instant now) const
 {
-    if (now < m_no_send_before)
-        return false;
-    if (!may_send_another() || (m_is_shared && m_busy_pause.is_active(now)))
-        return false;
-    return has_idle_connection(workspace) || may_open(workspace, now);
+    return may_send(now) &&
+           (has_idle_connection(workspace) || may_open(workspace, now));
 }
 
 bool upstream_pool::may_send_another() const
--- a/src/plantainward/pooling/upstream_pool.hpp
+++ b/src/plantainward/pooling/upstream_pool.hpp
@@ -114,6 +114,9 @@
     /// closing the `eviction_candidate`.
     bool may_open(std::string_view workspace, core::boot_instant now) const;
 
+    /// Whether a statement of some workspace can start here now.
+    bool has_any_capacity(core::boot_instant now) const;
+
     /// Whether a statement of the workspace can start here now.
     bool has_capacity(std::string_view workspace, core::boot_instant now) const;
 
@@ -212,6 +215,8 @@
     std::optional<core::boot_instant> oldest_unanswered() const;
     /// Whether pauses after failures allow another connection to be opened.
     bool is_opening_allowed(core::boot_instant now) const;
+    /// Whether the window and the pauses allow another statement.
+    bool may_send(core::boot_instant now) const;
     bool may_send_another() const;
 
     database_load m_load;
--- a/tests/pooling/balancer_tests.cpp
+++ b/tests/pooling/balancer_tests.cpp
@@ -154,7 +154,7 @@
     c.submit(1, sql::statement_kind::read, "READ a");
     c.complete_open();
     CHECK(c.pool.in_flight_by_database("ledger").empty());
-    c.pool.set_plan("ledger", {2, {}, {}, true});
+    c.pool.set_plan("ledger", {2, {}, {}, {}, true});
     CHECK((c.pool.in_flight_by_database("ledger") ==
            std::vector<std::uint8_t>{1, 0}));
     CHECK(c.pool.in_flight_by_database("unknown").empty());
@@ -165,7 +165,7 @@
     // Failure: the sender knew another list of databases, and its counts were
     // taken for those of other databases.
     support::pooler_case c;
-    c.pool.set_plan("ledger", {2, {}, {}, true});
+    c.pool.set_plan("ledger", {2, {}, {}, {}, true});
     c.pool.add_watermark("ledger", {c.now - millis(200), {1, 42}});
     c.pool.add_load_report("ledger", "other", {0, 200, 0}, c.now);
     c.open_session(1, "specs");
--- a/tests/pooling/placement_tests.cpp
+++ b/tests/pooling/placement_tests.cpp
@@ -46,7 +46,7 @@
         {
             const auto number = static_cast<connection_id>(m_last_id + 1);
             ++m_last_id;
-            service.upstreams.at(id).add(number, now).stage =
+            service.upstreams.at(id).add(number, {}, now).stage =
                 connection_stage::running;
         }
     }
--- a/tests/support/fleet_world.hpp
+++ b/tests/support/fleet_world.hpp
@@ -427,7 +427,6 @@
     fleet_history m_history;
     std::map<std::string, std::size_t> m_heartbeats;
     std::optional<routes::quota_limit> m_quota;
-    std::uint64_t m_routing_version{1};
 };
 
 } // namespace support
