Quotas: a workspace may use all that a window allows, in each window

Cause: the limit of a window is rate x window + burst, but the buckets of the owners were filled at the rate alone, so that a workspace that had used its burst got 5/6 of what each further window allows.

Change: the owners together add rate x window + burst tokens in each window. To keep the bound with the tokens that are granted and not used yet, a token lives 0.3 s instead of 1 s: 6 x 1.06 + 20/rate of the 6.6 + 20/rate that are allowed.

The tests of the ledger use a limit of 7.5/7.5 instead of 9/9, which gives the same 3 tokens a second; one test of the former rate now checks the new one.

--- a/src/plantainward/quota/quota_bounds.cpp
+++ b/src/plantainward/quota/quota_bounds.cpp
@@ -51,7 +51,8 @@
     const double span_s =
         bounds.window_s +
         std::chrono::duration<double>(bounds.token_life).count();
-    owner_share share{limit.rate_per_s / owners, 0};
+    const double window_rate = limit.rate_per_s + limit.burst / bounds.window_s;
+    owner_share share{window_rate / owners, 0};
     share.capacity = part - share.rate_per_s * span_s;
     const double smallest = std::min(
         part, std::max(min_capacity, min_capacity_s * share.rate_per_s));
--- a/src/plantainward/quota/quota_bounds.hpp
+++ b/src/plantainward/quota/quota_bounds.hpp
@@ -19,8 +19,9 @@
     /// Operations that are tolerated beyond that.
     double slack{20};
     /// Time from a request for tokens until operations may no longer start with
-    /// them.
-    core::millis token_life{1000};
+    /// them. Unused tokens of this time count in each window, so a longer life
+    /// leaves less of the limit to use.
+    core::millis token_life{300};
 };
 
 /// Largest number of owners that grant the tokens of one workspace.
@@ -43,8 +44,9 @@
 
 /// The share of one of `owner_count` owners, which must not be 0.
 ///
-/// The rate is the owner's part of the limit. It is less only if the bound
-/// leaves no room for a bucket beside it, as with a burst of 0.
+/// The owners together add `rate x window + burst` tokens in each window: a
+/// window may use all of the limit, also when others before it did. The rate is
+/// less only if the bound leaves no room for a bucket beside it.
 owner_share share_of(const routes::quota_limit& limit,
                      const quota_bounds& bounds, std::size_t owner_count);
 
--- a/tests/quota/token_ledger_tests.cpp
+++ b/tests/quota/token_ledger_tests.cpp
@@ -19,7 +19,7 @@
 {
     ledger_case()
     {
-        ledger.set_limits({{"shop", {9, 9}}}, now);
+        ledger.set_limits({{"shop", {7.5, 7.5}}}, now);
         ledger.set_voters(1, three_voters, now);
         ledger.set_majority_at(now, now);
     }
@@ -73,20 +73,33 @@
 TEST_GROUP(token_ledger){};
 
 // Guards against a burst that a restarted owner grants a second time.
-TEST(token_ledger, starts_empty_and_fills_at_a_third_of_the_rate)
+TEST(token_ledger, starts_empty_and_fills_at_a_third_of_what_a_window_allows)
 {
     ledger_case test;
     CHECK(test.ledger.request("shop", 1, test.now).answer ==
           token_answer::retry_later);
+    // A window of 5 s allows 7.5 x 5 + 7.5 operations: 3 a second for an owner.
     test.pass(millis(2000));
     CHECK_EQUAL(6, test.grant());
 }
 
+// Guards against refusals below the limit: a workspace may use all that a
+// window allows, in each window.
+TEST(token_ledger, three_owners_grant_all_that_windows_allow_without_end)
+{
+    for (const double rate : {9.0, 435.0})
+    {
+        const auto share = share_of({rate, rate}, {}, 3);
+        DOUBLES_EQUAL(6 * rate / 5, 3 * share.rate_per_s, 1e-6);
+        CHECK(share.capacity >= share.rate_per_s * 0.1);
+    }
+}
+
 TEST(token_ledger, holds_no_more_than_its_capacity)
 {
     ledger_case test;
     test.pass(millis(60'000));
-    const auto share = share_of({9, 9}, test.bounds, 3);
+    const auto share = share_of({7.5, 7.5}, test.bounds, 3);
     CHECK_EQUAL(static_cast<std::uint32_t>(share.capacity), test.grant());
 }
 
@@ -97,7 +110,7 @@
         for (const double burst : {0.0, 1.0, rate, 5 * rate})
         {
             const auto share = share_of({rate, burst}, bounds, 3);
-            CHECK(3 * (share.capacity + share.rate_per_s * 6) <=
+            CHECK(3 * (share.capacity + share.rate_per_s * 5.3) <=
                   max_operations({rate, burst}, bounds) + 1e-6);
         }
 }
@@ -167,7 +180,7 @@
 {
     ledger_case test;
     test.pass(millis(2000));
-    test.ledger.set_limits({{"shop", {9, 9}}, {"new", {3, 3}}}, test.now);
+    test.ledger.set_limits({{"shop", {7.5, 7.5}}, {"new", {3, 3}}}, test.now);
     CHECK_EQUAL(6, test.grant());
     CHECK_EQUAL(2, test.ledger.owned_count());
 }
@@ -177,15 +190,15 @@
     ledger_case test;
     test.ledger.set_limits({{"shop", {900, 900}}}, test.now);
     test.pass(millis(10'000));
-    test.ledger.set_limits({{"shop", {9, 9}}}, test.now);
-    const auto share = share_of({9, 9}, test.bounds, 3);
+    test.ledger.set_limits({{"shop", {7.5, 7.5}}}, test.now);
+    const auto share = share_of({7.5, 7.5}, test.bounds, 3);
     CHECK_EQUAL(static_cast<std::uint32_t>(share.capacity), test.grant());
 }
 
 TEST(token_ledger, a_raised_limit_fills_the_bucket_at_the_new_rate)
 {
     ledger_case test;
-    test.ledger.set_limits({{"shop", {90, 90}}}, test.now);
+    test.ledger.set_limits({{"shop", {75, 75}}}, test.now);
     CHECK_EQUAL(0, test.grant());
     test.pass(millis(100));
     CHECK_EQUAL(3, test.grant());
--- a/tests/quota/token_requester_tests.cpp
+++ b/tests/quota/token_requester_tests.cpp
@@ -76,7 +76,8 @@
     const auto sent = test.now;
     test.now += millis(3);
     test.answer(granted(1));
-    CHECK(test.settled.back().granted->valid_until == sent + millis(1000));
+    CHECK(test.settled.back().granted->valid_until ==
+          sent + quota_bounds{}.token_life);
 }
 
 TEST(token_requester, operations_share_one_request)
