--- a/src/plantainward/pooling/load_reports.cpp
+++ b/src/plantainward/pooling/load_reports.cpp
@@ -25,7 +25,8 @@
                        core::boot_instant at)
 {
     const auto value = static_cast<double>(in_flight);
-    const auto [found, is_new] = m_reports.try_emplace(host, value, at);
+    const auto [found, is_new] =
+        m_reports.try_emplace(host, host_report{value, at});
     auto& last = found->second;
     if (is_new || at <= last.at)
         return;
--- a/src/plantainward/pooling/pooler_admission.cpp
+++ b/src/plantainward/pooling/pooler_admission.cpp
@@ -156,6 +156,7 @@
             const auto rate = service_rate(service, needs_primary);
             const auto ids = waiting_in_order(name, needs_primary, 0);
             std::vector<candidate> waiting;
+            waiting.reserve(ids.size());
             for (const auto id : ids)
                 waiting.push_back(candidate_of(m_sessions.at(id)));
             for (const auto i : admission::hopeless(waiting, rate, m_now))
