Names of the admission: unservable statements, idle transactions

Renames reject_hopeless, hopeless and end_longest_rests to the terms of the field, and gives the overload tests one function for their common steps.

--- a/src/plantainward/pooling/admission.cpp
+++ b/src/plantainward/pooling/admission.cpp
@@ -115,8 +115,8 @@
 }
 
 std::vector<std::size_t>
-admission::hopeless(const std::vector<candidate>& waiting,
-                    double statements_per_ms, core::boot_instant now)
+admission::unservable(const std::vector<candidate>& waiting,
+                      double statements_per_ms, core::boot_instant now)
 {
     std::vector<std::size_t> result;
     if (statements_per_ms <= 0)
--- a/src/plantainward/pooling/admission.hpp
+++ b/src/plantainward/pooling/admission.hpp
@@ -72,8 +72,8 @@
     /// Which of the waiting statements, in the order of their ranks, can't run
     /// before their limit any more; indices in ascending order.
     static std::vector<std::size_t>
-    hopeless(const std::vector<candidate>& waiting, double statements_per_ms,
-             core::boot_instant now);
+    unservable(const std::vector<candidate>& waiting, double statements_per_ms,
+               core::boot_instant now);
 
 private:
     /// Statement milliseconds per millisecond, decayed.
--- a/src/plantainward/pooling/pooler.cpp
+++ b/src/plantainward/pooling/pooler.cpp
@@ -541,8 +541,8 @@
     refuse_waiting_for_withdrawn_primaries();
     drop_surplus_connections();
     drop_unused_connections();
-    reject_hopeless();
-    end_longest_rests();
+    reject_unservable();
+    end_longest_idle_transactions();
     serve_queue();
     probe_silent_upstreams();
     return collect_actions();
--- a/src/plantainward/pooling/pooler.hpp
+++ b/src/plantainward/pooling/pooler.hpp
@@ -427,11 +427,12 @@
     bool may_serve(const std::string& service,
                    std::map<std::string, bool>& known);
     bool reject_on_arrival(session& session);
-    void reject_hopeless();
+    void reject_unservable();
     void record_start(const session& session);
     bool may_retry(const session& session);
-    void end_longest_rests();
-    void end_rests_at(const std::string& service, const upstream_pool& pool);
+    void end_longest_idle_transactions();
+    void end_idle_transactions_at(const std::string& service,
+                                  const upstream_pool& pool);
     void add_queue_state(decision& report, const session& session);
 
     // Connections.
--- a/src/plantainward/pooling/pooler_admission.cpp
+++ b/src/plantainward/pooling/pooler_admission.cpp
@@ -1,5 +1,5 @@
 // Admission of statements on connections that a few hosts share: which wait, in
-// which order, which are refused, and which resting transactions end for them.
+// which order, which are refused, and which idle transactions end for them.
 
 #include <plantainward/pooling/pooler.hpp>
 
@@ -143,7 +143,7 @@
     return true;
 }
 
-void pooler::reject_hopeless()
+void pooler::reject_unservable()
 {
     if (m_queue.empty())
         return;
@@ -159,7 +159,7 @@
             waiting.reserve(ids.size());
             for (const auto id : ids)
                 waiting.push_back(candidate_of(m_sessions.at(id)));
-            for (const auto i : admission::hopeless(waiting, rate, m_now))
+            for (const auto i : admission::unservable(waiting, rate, m_now))
             {
                 auto& session = m_sessions.at(ids[i]);
                 // A refused session's next statement may have freed a
@@ -198,7 +198,7 @@
            service.retries.try_take(m_now);
 }
 
-void pooler::end_longest_rests()
+void pooler::end_longest_idle_transactions()
 {
     if (m_queue.empty())
         return;
@@ -207,13 +207,14 @@
         if (!service.has_admission())
             continue;
         for (const auto& [id, pool] : service.upstreams)
-            end_rests_at(name, pool);
+            end_idle_transactions_at(name, pool);
     }
 }
 
-// Ends as many resting transactions as waiting statements could use their
-// connections now, the longest resting ones first.
-void pooler::end_rests_at(const std::string& service, const upstream_pool& pool)
+// Ends as many idle transactions as waiting statements could use their
+// connections now, the longest idle ones first.
+void pooler::end_idle_transactions_at(const std::string& service,
+                                      const upstream_pool& pool)
 {
     const auto& view = m_services[service];
     const bool is_primary = view.is_primary(pool.registration().id, m_now);
@@ -230,7 +231,7 @@
     needed = std::min(needed, window - std::min(window, in_use));
     if (needed == 0)
         return;
-    std::vector<std::pair<core::boot_instant, session_id>> resting;
+    std::vector<std::pair<core::boot_instant, session_id>> idle;
     for (const auto& [id, session] : m_sessions)
     {
         if (session.current || session.failed || !session.transaction ||
@@ -239,10 +240,10 @@
             continue;
         const auto* connection = pool.find(session.transaction->connection);
         if (connection != nullptr)
-            resting.emplace_back(session.last_active, id);
+            idle.emplace_back(session.last_active, id);
     }
-    std::sort(resting.begin(), resting.end());
-    for (const auto& [since, id] : resting)
+    std::sort(idle.begin(), idle.end());
+    for (const auto& [since, id] : idle)
     {
         if (needed-- == 0)
             return;
--- a/tests/pooling/admission_tests.cpp
+++ b/tests/pooling/admission_tests.cpp
@@ -45,7 +45,7 @@
 TEST(admission, without_a_known_service_a_statement_waits)
 {
     CHECK(control.decide({in(100)}, in(100), 0, now) == verdict::wait);
-    LONGS_EQUAL(0, admission::hopeless({in(100)}, 0, now).size());
+    LONGS_EQUAL(0, admission::unservable({in(100)}, 0, now).size());
 }
 
 TEST(admission, late_statements_wait_only_while_there_is_spare_service)
--- a/tests/pooling/overload_tests.cpp
+++ b/tests/pooling/overload_tests.cpp
@@ -137,6 +137,16 @@
         world.after(millis(6), [this, ended] { start(ended); });
     }
 
+    /// Loads the primary with this multiple of its capacity until all calls
+    /// have ended.
+    void play(double multiple, unsigned seed)
+    {
+        random.seed(seed);
+        load(capacity_per_s * multiple, load_time);
+        world.run_until(world.now + load_time + millis(2000));
+        print((std::to_string(multiple) + " times the capacity").c_str());
+    }
+
     void print(const char* name) const
     {
         std::printf("%s: calls %zu, served %zu, in time %zu, refusals %zu, "
@@ -168,10 +178,7 @@
     for (unsigned seed = 1; seed <= 5; ++seed)
     {
         overload_case c(true);
-        c.random.seed(seed);
-        c.load(capacity_per_s * 1.2, load_time);
-        c.world.run_until(c.world.now + load_time + millis(2000));
-        c.print("1.2 times the capacity");
+        c.play(1.2, seed);
         CHECK(static_cast<double>(c.in_time) >= capacity_per_s * 10 * 0.9);
     }
 }
@@ -183,10 +190,7 @@
     for (unsigned seed = 1; seed <= 5; ++seed)
     {
         overload_case c(true);
-        c.random.seed(seed);
-        c.load(capacity_per_s * 1.2, load_time);
-        c.world.run_until(c.world.now + load_time + millis(2000));
-        c.print("1.2 times the capacity");
+        c.play(1.2, seed);
         LONGS_EQUAL(0, c.late_refusals);
     }
 }
@@ -198,10 +202,7 @@
     for (unsigned seed = 1; seed <= 5; ++seed)
     {
         overload_case c(true);
-        c.random.seed(seed);
-        c.load(capacity_per_s * 0.7, load_time);
-        c.world.run_until(c.world.now + load_time + millis(2000));
-        c.print("0.7 times the capacity");
+        c.play(0.7, seed);
         LONGS_EQUAL(0, c.refused);
         LONGS_EQUAL(c.calls_begun, c.in_time);
     }
--- a/tests/pooling/retry_tests.cpp
+++ b/tests/pooling/retry_tests.cpp
@@ -165,7 +165,7 @@
     LONGS_EQUAL(sent, c.sent.size());
     c.now += millis(150);
     c.apply(c.pool.tick(c.now));
-    // One statement waits: the longest resting transaction ends, the others
+    // One statement waits: the longest idle transaction ends, the others
     // stay open.
     LONGS_EQUAL(sent + 1, c.sent.size());
     CHECK(c.last_command().kind == command_kind::rollback);
