--- a/review/harness/fleet.cpp
+++ b/review/harness/fleet.cpp
@@ -10,6 +10,7 @@
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <netinet/in.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -52,7 +53,7 @@
 std::uint16_t free_port()
 {
     static std::uint16_t next =
-        static_cast<std::uint16_t>(20'000 + ::getpid() % 900 * 12);
+        static_cast<std::uint16_t>(20'000 + ::getpid() % 300 * 40);
     for (;;)
     {
         ++next;
@@ -232,6 +233,8 @@
     const auto child = ::fork();
     if (child == 0)
     {
+        // Ends with this program, also when that is killed.
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
         const int file =
             ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         ::dup2(file, STDOUT_FILENO);
