A planned stop answers every request that it has read

Cause: sessions were closed only if a timer found them idle. A caller that sends each request right after the last answer is idle only between the two, so its session served on until 0.85 of the grace period, when the process ended with whatever was at work. Nothing in the log told of it.

Change: stages of a drain (`pooling/drain_stage`, no I/O). A session is closed right after an answer that leaves nothing outstanding, unless bytes of another request have arrived. From half of the grace period on no operation and no session starts. At 0.85 of it each request that still runs is answered: a commit or a write that was sent as unknown, the rest as not kept. While the registration ends, nothing is accepted; unsent answers are waited for. The event `work_ended` counts what was ended. Signals during the start are no longer fatal.

--- a/programs/plantainward_poold/main.cpp
+++ b/programs/plantainward_poold/main.cpp
@@ -41,18 +41,19 @@
     // One thread serves callers and databases; the readiness server has its
     // own, so that a busy host still answers the balancer's readiness checks.
     boost::asio::io_context io(1);
+    // Signals that arrive while the host starts are handled afterwards.
+    boost::asio::signal_set stop_signals(io, SIGTERM, SIGINT);
+    boost::asio::signal_set reload_signals(io, SIGHUP);
     auto host = platform_adapter::host_process::start(io, settings);
     if (!host)
     {
         std::cerr << "plantainward_poold: " << core::last_error().text << '\n';
         return exit_cannot_start;
     }
-    boost::asio::signal_set stop_signals(io, SIGTERM, SIGINT);
     stop_signals.async_wait([&](boost::system::error_code error, int) {
         if (!error)
             host->drain();
     });
-    boost::asio::signal_set reload_signals(io, SIGHUP);
     reload_on_signal(reload_signals, *host, path);
     io.run();
     return 0;
--- a/src/plantainward/observe/log_event.cpp
+++ b/src/plantainward/observe/log_event.cpp
@@ -17,12 +17,16 @@
 constexpr int failure_per_s = 100;
 constexpr int request_per_s = 40;
 
-constexpr std::array<log_event_row, 41> table{{
+constexpr std::array<log_event_row, 42> table{{
     {started, "started", rare_per_s, "the process listens"},
     {stopped, "stopped", rare_per_s,
      "the process ends after a graceful shutdown"},
     {draining, "draining", rare_per_s,
      "a stop was requested; the requests under way are finished"},
+    {work_ended, "work_ended", rare_per_s,
+     "the grace period is nearly over; the requests that still run are "
+     "answered "
+     "without their result"},
     {settings_reloaded, "settings_reloaded", rare_per_s,
      "the settings file was read again"},
     {ready, "ready", rare_per_s, "callers can be directed to this host"},
--- a/src/plantainward/observe/log_event.hpp
+++ b/src/plantainward/observe/log_event.hpp
@@ -16,6 +16,7 @@
     started,
     stopped,
     draining,
+    work_ended,
     settings_reloaded,
     ready,
     not_ready,
--- a/src/plantainward/pooling/action.hpp
+++ b/src/plantainward/pooling/action.hpp
@@ -48,6 +48,13 @@
     sql::reply reply;
 };
 
+/// Closes a caller's session that waits for no reply; not carried out when
+/// bytes of another request have arrived.
+struct close_session_action
+{
+    session_id session{0};
+};
+
 /// Forwards a statement to another host. `operation` stays the same for all
 /// statements of one transaction.
 struct forward_action
@@ -93,10 +100,10 @@
 };
 
 /// One action that the pooler requests of its owner.
-using action =
-    std::variant<open_action, send_action, close_action, reply_action,
-                 forward_action, end_forwarding_action, forwarded_reply_action,
-                 request_tokens_action, grant_tokens_action>;
+using action = std::variant<open_action, send_action, close_action,
+                            reply_action, close_session_action, forward_action,
+                            end_forwarding_action, forwarded_reply_action,
+                            request_tokens_action, grant_tokens_action>;
 /// Actions in the order in which they are to be carried out.
 using actions = std::vector<action>;
 
--- a/src/plantainward/pooling/pooler.cpp
+++ b/src/plantainward/pooling/pooler.cpp
@@ -234,6 +234,8 @@
                                  core::boot_instant now)
 {
     m_now = now;
+    if (m_drain_stage >= drain_stage::refusing_work)
+        return open_result::host_stopping;
     const auto* route = m_routing.find(database);
     if (route == nullptr)
         return open_result::unknown_database;
@@ -297,15 +299,6 @@
     return idle;
 }
 
-actions pooler::end_transactions(core::boot_instant now)
-{
-    m_now = now;
-    for (auto& [id, session] : m_sessions)
-        if (session.transaction && !session.current)
-            fail_transaction(session, false);
-    return collect_actions();
-}
-
 actions pooler::on_statement(session_id id, sql::statement statement,
                              core::boot_instant now)
 {
@@ -330,6 +323,8 @@
 {
     if (auto answer = answer_locally(session, statement))
         return reply(session, std::move(*answer));
+    if (!may_start_operation(session))
+        return reply(session, stopping_reply(session));
     switch (statement.kind)
     {
     case statement_kind::begin:
@@ -448,6 +443,7 @@
     if (session.origin)
         return reply_to_host(session, {std::move(answer), false, false, false});
     m_actions.emplace_back(reply_action{session.id, std::move(answer)});
+    close_if_stopping(session);
 }
 
 void pooler::finish(session& session, sql::reply answer)
--- a/src/plantainward/pooling/pooler.hpp
+++ b/src/plantainward/pooling/pooler.hpp
@@ -4,6 +4,7 @@
 #include <plantainward/core/enum_names.hpp>
 #include <plantainward/core/time.hpp>
 #include <plantainward/pooling/action.hpp>
+#include <plantainward/pooling/drain_stage.hpp>
 #include <plantainward/pooling/opening.hpp>
 #include <plantainward/pooling/service_view.hpp>
 #include <plantainward/pooling/session.hpp>
@@ -142,7 +143,9 @@
     /// No route has this database name.
     unknown_database,
     /// The route is not public, and no workspace holds the caller's key.
-    unknown_key
+    unknown_key,
+    /// This host is about to end.
+    host_stopping
 };
 
 /// Settings of the pooler.
@@ -206,8 +209,10 @@
     /// Sets how the connections of a service are divided among hosts.
     void set_plan(const std::string& service, connection_plan plan);
 
-    /// Makes this host refuse new operations of other hosts.
-    void set_draining() { m_draining = true; }
+    /// Sets how far a planned stop of this host has got; a stage that is
+    /// earlier than the present one is ignored. Ends what the stage ends; called
+    /// again in the same stage, also what has come to rest since.
+    actions advance_drain(drain_stage stage, core::boot_instant now);
 
     /// Sets the primary of a service (empty for none), the end of the lease
     /// under which this host may use it, and the term that it leads (0 when not
@@ -271,9 +276,8 @@
     /// Callers' sessions with no open transaction and no running statement.
     std::vector<session_id> idle_sessions() const;
     std::size_t session_count() const { return m_sessions.size(); }
-
-    /// Rolls back all open transactions in which no statement is running.
-    actions end_transactions(core::boot_instant now);
+    /// Number of statements that wait or run.
+    std::size_t work_count() const { return m_work_count; }
 
     /// A connection that was requested by `open_action` is open.
     actions on_opened(connection_id id, core::boot_instant now);
@@ -370,6 +374,14 @@
                 const std::string& detail = {});
     void fail_transaction(session& session, bool is_reported);
 
+    // The planned stop.
+    bool may_start_operation(const session& session) const;
+    static sql::reply stopping_reply(const session& session);
+    void close_if_stopping(const session& session);
+    void roll_back_idle_transactions();
+    void end_all_work();
+    void end_work(session& session);
+
     // The callers' keys.
     bool authorize(session& session, const sql::statement& statement);
     const routes::workspace* holder_of_key(const session& session) const;
@@ -501,7 +513,7 @@
     std::vector<session_id> m_queue;
     std::size_t m_work_count{0};
     bool m_isolated{false};
-    bool m_draining{false};
+    drain_stage m_drain_stage{drain_stage::none};
     operation_id m_last_operation_id{0};
     /// Sessions that run operations of other hosts, by host and operation.
     std::map<std::pair<std::string, operation_id>, session_id>
--- a/src/plantainward/pooling/pooler_forwarding.cpp
+++ b/src/plantainward/pooling/pooler_forwarding.cpp
@@ -248,10 +248,12 @@
                       "this host does not know the transaction", false);
     const bool has_no_connections =
         m_services[work.route.service].plan.share == 0;
-    if (!is_continuation && (has_no_connections || m_draining))
+    const bool is_stopping = m_drain_stage != drain_stage::none;
+    if (!is_continuation && (has_no_connections || is_stopping))
         return reject(core::error_kind::overloaded,
-                      m_draining ? "the host is stopping"
-                                 : "the host has no connections of the service",
+                      is_stopping
+                          ? "the host is stopping"
+                          : "the host has no connections of the service",
                       true);
     const auto id =
         is_continuation ? remote->second : ++m_last_remote_id | remote_id_base;
--- a/standins/line_database/line_database.cpp
+++ b/standins/line_database/line_database.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
 
@@ -17,11 +18,12 @@
 struct line_database::connection
 {
     explicit connection(tcp::socket accepted_socket)
-        : socket(std::move(accepted_socket))
+        : socket(std::move(accepted_socket)), timer(socket.get_executor())
     {
     }
 
     tcp::socket socket;
+    asio::steady_timer timer;
     std::string input;
     bool started{false};
     bool in_transaction{false};
@@ -82,14 +84,36 @@
                 return void(m_connections.erase(proxy_connection));
             const auto line = proxy_connection->input.substr(0, size - 2);
             proxy_connection->input.erase(0, size);
-            error_code failed;
-            asio::write(proxy_connection->socket,
-                        asio::buffer(answer_line(*proxy_connection, line)),
-                        failed);
-            read(proxy_connection);
+            const auto answer = answer_line(*proxy_connection, line);
+            const auto delay = delay_of(line);
+            if (delay == std::chrono::milliseconds(0))
+                return send(proxy_connection, answer);
+            proxy_connection->timer.expires_after(delay);
+            proxy_connection->timer.async_wait(
+                [this, proxy_connection, answer](error_code) {
+                    if (m_running)
+                        send(proxy_connection, answer);
+                });
         });
 }
 
+void line_database::send(const std::shared_ptr<connection>& proxy_connection,
+                         const std::string& answer)
+{
+    error_code failed;
+    asio::write(proxy_connection->socket, asio::buffer(answer), failed);
+    read(proxy_connection);
+}
+
+// The proxy's own statements, which have the id `-`, are answered at once.
+std::chrono::milliseconds line_database::delay_of(const std::string& line) const
+{
+    const std::lock_guard lock(m_group->mutex);
+    const bool is_callers =
+        line.starts_with("QUERY ") && !line.starts_with("QUERY - ");
+    return is_callers ? m_group->answer_delay : std::chrono::milliseconds(0);
+}
+
 std::string line_database::ready_line(const connection& proxy_connection) const
 {
     return std::string("READY ") +
--- a/standins/line_database/line_database.hpp
+++ b/standins/line_database/line_database.hpp
@@ -2,6 +2,7 @@
 
 #include <plantainward/core/host.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -33,6 +34,8 @@
     std::vector<entry> log;
     /// Id of each statement that ran, with the id of the database that ran it.
     std::vector<std::pair<std::string, std::string>> statement_runs;
+    /// Time between the run of a caller's statement and its answer.
+    std::chrono::milliseconds answer_delay{0};
 };
 
 /// A database that speaks the line protocol. All databases of a group share its
@@ -53,6 +56,9 @@
     void accept();
     /// Reads and answers the next line of a connection.
     void read(const std::shared_ptr<connection>& proxy_connection);
+    void send(const std::shared_ptr<connection>& proxy_connection,
+              const std::string& answer);
+    std::chrono::milliseconds delay_of(const std::string& line) const;
     std::string answer_line(connection& proxy_connection,
                             const std::string& line);
     std::string run(connection& proxy_connection, const std::string& id,
--- a/tests/pool_processes/pool_process_tests.cpp
+++ b/tests/pool_processes/pool_process_tests.cpp
@@ -5,6 +5,7 @@
 #include <support/loopback.hpp>
 #include <support/raw_client.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -282,6 +283,56 @@
     CHECK(contains(log_text, "\"event\":\"request_forwarded\""));
 }
 
+namespace
+{
+
+/// Sends reads one after the other on one session of host 0, each right after
+/// the last answer, until the session ends; returns the id of the request that
+/// was not answered.
+std::string find_cut_request(int caller_number)
+{
+    support::raw_client caller({loopback, port_of(0, 0)});
+    caller.send("START specs u\r\n");
+    caller.read_until("READY I -\r\n");
+    for (int count = 1;; ++count)
+    {
+        const auto id =
+            std::to_string(caller_number) + "-" + std::to_string(count);
+        caller.discard_text();
+        caller.send("QUERY " + id + " READ a\r\n");
+        if (!contains(caller.read_until("READY "), "READY "))
+            return id;
+    }
+}
+
+} // namespace
+
+// Guards against requests that are cut at the end of a planned stop: callers
+// that send each request right after the last answer were not found idle.
+TEST(pool_processes, a_planned_stop_under_load_cuts_no_request)
+{
+    pool_fleet fleet;
+    {
+        const std::lock_guard lock(fleet.group->mutex);
+        fleet.group->answer_delay = std::chrono::milliseconds(30);
+    }
+    constexpr int caller_count = 8;
+    std::vector<std::string> cut(caller_count);
+    std::vector<std::thread> callers;
+    for (int i = 0; i < caller_count; ++i)
+        callers.emplace_back([&, i] { cut[i] = find_cut_request(i); });
+    std::this_thread::sleep_for(std::chrono::seconds(1));
+    fleet.processes[0].send(SIGTERM);
+    LONGS_EQUAL(0, fleet.processes[0].wait());
+    for (auto& caller : callers)
+        caller.join();
+    // A request that crosses the end of its session is not passed on.
+    const std::lock_guard lock(fleet.group->mutex);
+    for (const auto& [id, database] : fleet.group->statement_runs)
+        CHECK_TEXT(std::find(cut.begin(), cut.end(), id) == cut.end(),
+                   id.c_str());
+}
+
 // Guards against work that is lost at a host which is not ready: it must refuse
 // forwarded work, so that the sender tries another host.
 TEST(pool_processes, a_host_that_is_starting_refuses_forwarded_work)
--- a/tests/pooling/forwarding_tests.cpp
+++ b/tests/pooling/forwarding_tests.cpp
@@ -321,7 +321,7 @@
      a_draining_delegate_finishes_its_transactions_and_accepts_no_others)
 {
     const auto id = c.begin_with(statement_kind::read, "READ a");
-    c.hosts["first"].pool.set_draining();
+    c.hosts["first"].pool.advance_drain(drain_stage::announced, c.now);
     c.submit(statement_kind::commit, "COMMIT");
     c.succeed("first", id);
     STRCMP_EQUAL("s", c.replies.back().signature.c_str());
@@ -349,7 +349,8 @@
 TEST(forwarding, a_transaction_that_the_delegate_has_ended_is_aborted)
 {
     c.begin_with(statement_kind::read, "READ a");
-    c.apply("first", c.hosts["first"].pool.end_transactions(c.now));
+    c.apply("first", c.hosts["first"].pool.advance_drain(
+                         drain_stage::refusing_work, c.now));
     LONGS_EQUAL(0, c.hosts["first"].pool.session_count());
     c.submit(statement_kind::commit, "COMMIT");
     CHECK(c.replies.back().error == error_kind::transaction_lost);
--- a/tests/pooling/workspace_forwarding_tests.cpp
+++ b/tests/pooling/workspace_forwarding_tests.cpp
@@ -189,7 +189,7 @@
 TEST(workspace_forwarding, the_next_holder_takes_over_for_one_that_refuses)
 {
     // Failure: as above, for a holder that is stopping.
-    c.hosts["h1"]->set_draining();
+    c.hosts["h1"]->advance_drain(drain_stage::announced, c.now);
     c.submit("front");
     LONGS_EQUAL(2, c.hops.size());
     STRCMP_EQUAL("front to h2", c.hops[1].c_str());
--- a/tests/support/pooler_case.hpp
+++ b/tests/support/pooler_case.hpp
@@ -75,6 +75,8 @@
                 closed.push_back(close->connection);
             if (const auto* answer = std::get_if<reply_action>(&action))
                 replies.push_back(*answer);
+            if (const auto* end = std::get_if<close_session_action>(&action))
+                closed_sessions.push_back(end->session);
         }
     }
 
@@ -151,6 +153,7 @@
     std::vector<send_action> sent;
     std::vector<connection_id> closed;
     std::vector<reply_action> replies;
+    std::vector<session_id> closed_sessions;
     int last_id{0};
 };
 
--- a/tests/support/raw_client.hpp
+++ b/tests/support/raw_client.hpp
@@ -51,6 +51,9 @@
         return m_text;
     }
 
+    /// Forgets the text that was received so far.
+    void discard_text() { m_text.clear(); }
+
     /// Reads until the connection ends; returns all text received so far.
     std::string read_to_end()
     {
