The values of a connection are those that its answers confirm

Cause: the pooler noted values and prepared names when it sent SET, RESET and PREPARE. If BEGIN was refused after them, the connection was kept with values that the database did not have. A probe's RESET had the same fault.

Change: the commands of the proxy stay unconfirmed until their answers; only a success changes what is known of the connection. A refusal that may have run closes it; one that promises no run leaves it usable.

--- a/src/plantainward/pooling/commands.cpp
+++ b/src/plantainward/pooling/commands.cpp
@@ -18,33 +18,37 @@
     return result;
 }
 
-void add_values(connection& connection, const session_values& wanted,
+namespace
+{
+
+// Appends the commands that give a connection the wanted values; true when the
+// first of them resets it.
+bool add_values(const connection& connection, const session_values& wanted,
                 std::vector<command>& commands)
 {
-    const bool has_unwanted = std::any_of(
+    const bool resets = std::any_of(
         connection.values.begin(), connection.values.end(),
         [&](const auto& current) { return !wanted.contains(current.first); });
-    if (has_unwanted)
-    {
+    if (resets)
         commands.push_back(proxy_command(command_kind::reset));
-        connection.values.clear();
-        connection.prepared.clear();
-    }
     for (const auto& [name, value] : wanted)
     {
         const auto current = connection.values.find(name);
-        if (current != connection.values.end() && current->second == value)
+        if (!resets && current != connection.values.end() &&
+            current->second == value)
             continue;
         auto command = proxy_command(command_kind::set_value);
         command.name = name;
         command.value = value;
         commands.push_back(std::move(command));
-        connection.values[name] = value;
     }
+    return resets;
 }
 
-void add_prepared(connection& connection, const session& session,
-                  std::vector<command>& commands)
+// Appends the command that prepares the statement which a session executes,
+// unless the connection has it.
+void add_prepared(const connection& connection, const session& session,
+                  bool was_reset, std::vector<command>& commands)
 {
     const auto& statement = session.current->statement;
     if (statement.kind != statement_kind::execute)
@@ -52,13 +56,63 @@
     const auto& prepared = session.prepared.at(statement.name);
     auto command = proxy_command(command_kind::prepare);
     command.name = shared_name(prepared);
-    if (!connection.prepared.insert(command.name).second)
+    if (!was_reset && connection.prepared.contains(command.name))
         return;
     command.value = prepared.shape;
     command.writes = prepared.writes;
     commands.push_back(std::move(command));
 }
 
+void apply(connection& connection, const command& confirmed)
+{
+    switch (confirmed.kind)
+    {
+    case command_kind::reset:
+        connection.values.clear();
+        connection.prepared.clear();
+        return;
+    case command_kind::set_value:
+        connection.values[confirmed.name] = confirmed.value;
+        return;
+    case command_kind::prepare:
+        connection.prepared.insert(confirmed.name);
+        return;
+    default:
+        return;
+    }
+}
+
+} // namespace
+
+std::vector<command> setup_commands(const connection& connection,
+                                    const session& session)
+{
+    std::vector<command> commands;
+    const bool resets = add_values(connection, session.values, commands);
+    add_prepared(connection, session, resets, commands);
+    if (session.current->begins)
+    {
+        auto begin_command = proxy_command(session.transaction->read_only
+                                               ? command_kind::begin_read_only
+                                               : command_kind::begin);
+        begin_command.after = session.current->after;
+        commands.push_back(std::move(begin_command));
+    }
+    return commands;
+}
+
+void confirm_command(connection& connection, const sql::command_answer& answer)
+{
+    if (connection.unconfirmed.empty())
+        return;
+    const auto confirmed = std::move(connection.unconfirmed.front());
+    connection.unconfirmed.erase(connection.unconfirmed.begin());
+    if (!answer.error)
+        return apply(connection, confirmed);
+    connection.is_state_known =
+        connection.is_state_known && sql::is_not_run(*answer.error);
+}
+
 command statement_command(const session& session)
 {
     const auto& statement = session.current->statement;
--- a/src/plantainward/pooling/commands.hpp
+++ b/src/plantainward/pooling/commands.hpp
@@ -13,16 +13,16 @@
 /// the kind are empty.
 sql::command proxy_command(sql::command_kind kind);
 
-/// Appends the commands that give a connection the wanted session values, and
-/// records them in the connection. A connection that holds values of other
-/// names is reset first.
-void add_values(connection& connection, const session_values& wanted,
-                std::vector<sql::command>& commands);
-
-/// Appends the command that prepares the statement which a session executes,
-/// unless the connection has it, and records it in the connection.
-void add_prepared(connection& connection, const session& session,
-                  std::vector<sql::command>& commands);
+/// The commands that give a connection the values of a session, prepare the
+/// statement that the session executes, and begin its transaction if the
+/// statement does so. A connection that holds values of other names is reset
+/// first.
+std::vector<sql::command> setup_commands(const connection& connection,
+                                         const session& session);
+
+/// Notes that the oldest unconfirmed command of a connection was answered: the
+/// state of the connection changes only by commands that have succeeded.
+void confirm_command(connection& connection, const sql::command_answer& answer);
 
 /// The command that runs a session's current statement.
 sql::command statement_command(const session& session);
--- a/src/plantainward/pooling/connection.hpp
+++ b/src/plantainward/pooling/connection.hpp
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace plantainward::pooling
 {
@@ -45,11 +46,18 @@
     connection_stage stage{connection_stage::opening};
     /// Session that uses the connection; 0 when there is none.
     session_id user{0};
-    /// Session values that the database holds for this connection.
+    /// Session values that the database holds for this connection, as far as
+    /// its answers have confirmed them.
     session_values values;
     /// Names of the prepared statements that the database holds for this
-    /// connection, see `shared_name`.
+    /// connection, see `shared_name`; confirmed like the values.
     std::set<std::string> prepared;
+    /// The proxy's own commands that were sent and not yet answered, in the
+    /// order in which they were sent.
+    std::vector<sql::command> unconfirmed;
+    /// Every answer told whether its command took effect. Without it the values
+    /// are not known, and the connection must be closed.
+    bool is_state_known{true};
     /// Commands that were sent and not yet answered.
     std::size_t unanswered{0};
     /// First refusal among the commands of stage `preparing`.
--- a/src/plantainward/pooling/pooler_connections.cpp
+++ b/src/plantainward/pooling/pooler_connections.cpp
@@ -73,23 +73,14 @@
 {
     if (!is_of_workspace(connection, session))
         return leave_connection(connection, session);
-    std::vector<sql::command> commands;
-    add_values(connection, session.values, commands);
-    add_prepared(connection, session, commands);
-    if (session.current->begins)
-    {
-        auto begin_command = proxy_command(
-            session.transaction->read_only ? sql::command_kind::begin_read_only
-                                           : sql::command_kind::begin);
-        begin_command.after = session.current->after;
-        commands.push_back(std::move(begin_command));
-    }
+    auto commands = setup_commands(connection, session);
     if (commands.empty())
         return send_statement(connection, session);
     connection.stage = connection_stage::preparing;
     connection.overtaken = 0;
     connection.setup_error.reset();
     connection.unanswered = commands.size();
+    connection.unconfirmed = commands;
     connection.sent_at = m_now;
     m_actions.emplace_back(send_action{connection.id, std::move(commands)});
 }
@@ -345,10 +336,12 @@
         handle_statement_answer(*connection, std::move(answer));
         break;
     case connection_stage::probing:
+        confirm_command(*connection, answer);
         add_watermark(*connection, answer);
         [[fallthrough]];
     case connection_stage::rolling_back:
-        if (answer.state != sql::transaction_state::idle)
+        if (answer.state != sql::transaction_state::idle ||
+            !connection->is_state_known)
             drop(id);
         else
             release(*connection, false);
@@ -363,6 +356,7 @@
 void pooler::handle_setup_answer(connection& connection,
                                  const sql::command_answer& answer)
 {
+    confirm_command(connection, answer);
     if (answer.error && !connection.setup_error)
         connection.setup_error = answer.error;
     if (connection.unanswered > 0)
@@ -383,9 +377,7 @@
     const auto upstream = connection.upstream;
     session.current->connection = 0;
     connection.user = 0;
-    // A refused begin leaves the connection in a known state, so it can be used
-    // again; after another refusal it is closed.
-    if (session.current->begins && answer.error)
+    if (connection.is_state_known)
         release(connection, answer.state != sql::transaction_state::idle);
     else
         drop(connection.id);
--- a/src/plantainward/pooling/pooler_maintenance.cpp
+++ b/src/plantainward/pooling/pooler_maintenance.cpp
@@ -128,12 +128,12 @@
                 continue;
             }
             connection->stage = connection_stage::probing;
-            connection->values.clear();
-            connection->prepared.clear();
             connection->unanswered = 1;
+            connection->unconfirmed = {
+                proxy_command(sql::command_kind::reset)};
             connection->sent_at = m_now;
-            m_actions.emplace_back(send_action{
-                connection->id, {proxy_command(sql::command_kind::reset)}});
+            m_actions.emplace_back(
+                send_action{connection->id, connection->unconfirmed});
         }
     }
 }
