A SET that is refused inside a transaction stays on its connection

Callers would see: a statement runs outside its transaction.

Cause: when a SET inside a transaction was refused, its connection was closed and the statement was placed anew, like one outside of transactions.

Change: after BUSY the setup is sent again on the same connection after a pause; after any other refusal the transaction is aborted.

--- a/src/plantainward/pooling/pooler.hpp
+++ b/src/plantainward/pooling/pooler.hpp
@@ -474,6 +474,8 @@
                          sql::refusal refusal);
     void handle_setup_answer(connection& connection,
                              const sql::command_answer& answer);
+    void retry_or_abort(connection& connection, session& session,
+                        sql::refusal refusal, sql::transaction_state state);
     void handle_statement_answer(connection& connection,
                                  sql::command_answer answer);
     void handle_statement_error(connection& connection, session& session,
--- a/src/plantainward/pooling/pooler_connections.cpp
+++ b/src/plantainward/pooling/pooler_connections.cpp
@@ -374,6 +374,8 @@
     const auto refusal = *connection.setup_error;
     report_decision(decision_kind::retried, session, connection.upstream,
                     answer.text);
+    if (session.transaction && !session.current->begins)
+        return retry_or_abort(connection, session, refusal, answer.state);
     const auto upstream = connection.upstream;
     session.current->connection = 0;
     connection.user = 0;
@@ -384,6 +386,34 @@
     retry_elsewhere(session, upstream, refusal);
 }
 
+// Handles a refusal in the middle of a transaction, which can continue only on
+// its own connection.
+void pooler::retry_or_abort(connection& connection, session& session,
+                            sql::refusal refusal,
+                            sql::transaction_state state)
+{
+    auto& work = *session.current;
+    // A busy database did not run the command.
+    if (refusal == sql::refusal::busy && connection.is_state_known &&
+        state == sql::transaction_state::open)
+    {
+        pool_of(connection.id)->record_busy(m_now);
+        connection.stage = connection_stage::pinned;
+        work.resend_at = m_now + transaction_busy_pause;
+        return;
+    }
+    work.connection = 0;
+    session.transaction->connection = 0;
+    connection.user = 0;
+    if (connection.is_state_known)
+        release(connection, state != sql::transaction_state::idle);
+    else
+        drop(connection.id);
+    refuse(session, core::error_kind::transaction_lost,
+           "the database refused to continue the transaction");
+    serve_queue();
+}
+
 void pooler::handle_statement_answer(connection& connection,
                                      sql::command_answer answer)
 {
--- a/src/plantainward/pooling/pooler_maintenance.cpp
+++ b/src/plantainward/pooling/pooler_maintenance.cpp
@@ -24,7 +24,7 @@
             continue;
         session.current->resend_at.reset();
         if (auto* connection = find(session.current->connection))
-            send_statement(*connection, session);
+            prepare_connection(*connection, session);
     }
 }
 
@@ -129,8 +129,7 @@
             }
             connection->stage = connection_stage::probing;
             connection->unanswered = 1;
-            connection->unconfirmed = {
-                proxy_command(sql::command_kind::reset)};
+            connection->unconfirmed = {proxy_command(sql::command_kind::reset)};
             connection->sent_at = m_now;
             m_actions.emplace_back(
                 send_action{connection->id, connection->unconfirmed});
--- a/tests/pooling/connection_state_tests.cpp
+++ b/tests/pooling/connection_state_tests.cpp
@@ -151,3 +151,37 @@
     CHECK((last_kinds() == std::vector{command_kind::rollback}));
     LONGS_EQUAL(0, c.closed.size());
 }
+
+// Guards against a statement that runs outside its transaction: a value that was
+// set inside a transaction was refused, and the next statement went to another
+// connection.
+TEST(connection_state, a_set_that_is_refused_in_a_transaction_is_sent_there_again)
+{
+    const auto id = c.begin_with(statement_kind::write, "WRITE x 1");
+    set_value(1, "a");
+    c.submit(1, statement_kind::read, "READ x");
+    CHECK((last_kinds() == std::vector{command_kind::set_value}));
+    const auto sent = c.sent.size();
+    c.fail(id, refusal::busy, transaction_state::open);
+    LONGS_EQUAL(sent, c.sent.size());
+    tick_after(millis(20));
+    LONGS_EQUAL(id, c.sent.back().connection);
+    CHECK((last_kinds() == std::vector{command_kind::set_value}));
+    c.succeed(id, transaction_state::open);
+    STRCMP_EQUAL("READ x", c.last_command().text.c_str());
+    LONGS_EQUAL(1, c.opened.size());
+}
+
+TEST(connection_state, a_set_that_fails_in_a_transaction_aborts_it)
+{
+    const auto id = c.begin_with(statement_kind::write, "WRITE x 1");
+    set_value(1, "a");
+    c.submit(1, statement_kind::read, "READ x");
+    const auto sent = c.sent.size();
+    c.fail(id, refusal::failed, transaction_state::failed);
+    CHECK(c.replies.back().reply.error == error_kind::transaction_lost);
+    LONGS_EQUAL(id, c.closed.back());
+    tick_after(millis(100));
+    LONGS_EQUAL(sent, c.sent.size());
+    LONGS_EQUAL(1, c.opened.size());
+}
