A transaction that the database has ended is aborted

Callers would see: statements run outside their transaction, if a database answers BEGIN or a statement of the transaction with another state than T. The pooler believed its own state; the answer was not looked at.

Change: after a setup and after each statement of a transaction the reported state must be the expected one; else the transaction is aborted.

--- a/src/plantainward/pooling/pooler.hpp
+++ b/src/plantainward/pooling/pooler.hpp
@@ -210,8 +210,8 @@
     void set_plan(const std::string& service, connection_plan plan);
 
     /// Sets how far a planned stop of this host has got; a stage that is
-    /// earlier than the present one is ignored. Ends what the stage ends; called
-    /// again in the same stage, also what has come to rest since.
+    /// earlier than the present one is ignored. Ends what the stage ends;
+    /// called again in the same stage, also what has come to rest since.
     actions advance_drain(drain_stage stage, core::boot_instant now);
 
     /// Sets the primary of a service (empty for none), the end of the lease
@@ -476,6 +476,8 @@
                              const sql::command_answer& answer);
     void retry_or_abort(connection& connection, session& session,
                         sql::refusal refusal, sql::transaction_state state);
+    void end_lost_transaction(connection& connection, session& session,
+                              sql::transaction_state state);
     void handle_statement_answer(connection& connection,
                                  sql::command_answer answer);
     void handle_statement_error(connection& connection, session& session,
--- a/src/plantainward/pooling/pooler_connections.cpp
+++ b/src/plantainward/pooling/pooler_connections.cpp
@@ -365,6 +365,12 @@
     if (user_session == m_sessions.end())
         return drop(connection.id);
     auto& session = user_session->second;
+    // A database that has lost the transaction, or opened one on its own,
+    // reports another state than the proxy expects.
+    const auto expected = session.transaction ? sql::transaction_state::open
+                                              : sql::transaction_state::idle;
+    if (!connection.setup_error && answer.state != expected)
+        connection.setup_error = sql::refusal::other;
     if (!connection.setup_error)
     {
         if (session.current->begins)
@@ -389,8 +395,7 @@
 // Handles a refusal in the middle of a transaction, which can continue only on
 // its own connection.
 void pooler::retry_or_abort(connection& connection, session& session,
-                            sql::refusal refusal,
-                            sql::transaction_state state)
+                            sql::refusal refusal, sql::transaction_state state)
 {
     auto& work = *session.current;
     // A busy database did not run the command.
@@ -402,7 +407,15 @@
         work.resend_at = m_now + transaction_busy_pause;
         return;
     }
-    work.connection = 0;
+    end_lost_transaction(connection, session, state);
+}
+
+// Ends a transaction that can't continue at the database, and takes its
+// connection from it.
+void pooler::end_lost_transaction(connection& connection, session& session,
+                                  sql::transaction_state state)
+{
+    session.current->connection = 0;
     session.transaction->connection = 0;
     connection.user = 0;
     if (connection.is_state_known)
@@ -410,7 +423,7 @@
     else
         drop(connection.id);
     refuse(session, core::error_kind::transaction_lost,
-           "the database refused to continue the transaction");
+           "the database did not continue the transaction");
     serve_queue();
 }
 
@@ -459,6 +472,8 @@
     if (committed && answer.position)
         session.own_commit = freshness::watermark{m_now, *answer.position};
     const bool keeps_connection = session.transaction && !is_commit(work);
+    if (keeps_connection && answer.state != sql::transaction_state::open)
+        return end_lost_transaction(connection, session, answer.state);
     if (keeps_connection)
         connection.stage = connection_stage::pinned;
     else
