Promotions keep acknowledged commits where replicas acknowledge them

Cause: a leaving replica was no candidate, whatever its log, and databases that had not told their log were waited for during 350 ms only. `sync_replicas` of the routing was not read.

Change: where sync_replicas is k, the longest known log wins, also of a leaving database; registered databases are waited for until fewer than k logs are unknown, or the recorded primary has told its log; after a rejected promotion no shorter log is taken; a leaving primary is demoted only once a database that stays has its log. With k = 0 nothing changes.

New: 10 tests of the claim without I/O; decoding and passing on of sync_replicas.

--- a/src/plantainward/entry/entry_host.cpp
+++ b/src/plantainward/entry/entry_host.cpp
@@ -474,6 +474,7 @@
         return;
     const auto live = m_fleet.live_voters(now);
     const bool can_reach_majority = m_fleet.can_reach_majority(now);
+    const auto gone = m_directory.gone(now);
     for (auto& [service, service_succession] : m_successions)
     {
         // A claim of a record that the table service has lost can't be written.
@@ -485,6 +486,10 @@
         for (const auto& upstream : m_upstreams)
             if (upstream.service == service)
                 view.claim.upstreams.push_back(upstream);
+        view.claim.gone = gone;
+        const auto& limits = m_pooler.routing().services;
+        if (const auto found = limits.find(service); found != limits.end())
+            view.claim.sync_replicas = found->second.sync_replicas;
         view.claim.all_acknowledged =
             [&, &name = service](std::uint64_t version,
                                  core::boot_instant since) {
--- a/src/plantainward/entry/upstream_directory.cpp
+++ b/src/plantainward/entry/upstream_directory.cpp
@@ -1,7 +1,5 @@
 #include <plantainward/entry/upstream_directory.hpp>
 
-#include <set>
-
 namespace plantainward::entry
 {
 
@@ -50,6 +48,16 @@
             remove(id, now);
 }
 
+std::set<std::string> upstream_directory::gone(core::boot_instant now) const
+{
+    std::set<std::string> ids;
+    for (const auto& [id, registration] : m_entries)
+        if (registration.removed &&
+            now - registration.removed_at > lapse_timeout)
+            ids.insert(id);
+    return ids;
+}
+
 std::vector<routes::upstream> upstream_directory::registered() const
 {
     std::vector<routes::upstream> upstreams;
--- a/src/plantainward/entry/upstream_directory.hpp
+++ b/src/plantainward/entry/upstream_directory.hpp
@@ -5,6 +5,7 @@
 #include <plantainward/routes/routing.hpp>
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -36,6 +37,10 @@
     /// returned in time.
     std::vector<routes::upstream> usable(core::boot_instant now);
 
+    /// Ids of the databases whose registration has ended and has not returned
+    /// in time.
+    std::set<std::string> gone(core::boot_instant now) const;
+
     /// The databases whose registration has not ended.
     std::vector<routes::upstream> registered() const;
 
--- a/src/plantainward/relay/update_message.cpp
+++ b/src/plantainward/relay/update_message.cpp
@@ -13,7 +13,7 @@
 template <class Archive>
 void serialize(Archive& archive, service_limits& limits)
 {
-    archive(limits.max_connections);
+    archive(limits.max_connections, limits.sync_replicas);
 }
 
 template <class Archive>
--- a/src/plantainward/routes/routing.hpp
+++ b/src/plantainward/routes/routing.hpp
@@ -71,6 +71,9 @@
 {
     /// Connections that one database accepts from all hosts together.
     std::size_t max_connections{1};
+    /// Replicas that have received a commit when the database acknowledges it.
+    /// If there are any, a promotion must not lose an acknowledged commit.
+    std::size_t sync_replicas{0};
 };
 
 /// One accepted version of the operators' routing.
--- a/src/plantainward/succession/claim.cpp
+++ b/src/plantainward/succession/claim.cpp
@@ -3,6 +3,7 @@
 #include <plantainward/succession/primary_lease.hpp>
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace plantainward::succession
@@ -66,8 +67,8 @@
     return nullptr;
 }
 
-// Whether a database may be the primary. One that is leaving may only if all
-// databases are leaving.
+// Whether a database may be the primary for long. One that is leaving may only
+// if all databases are leaving.
 bool may_lead(const claim_view& view, const routes::upstream& upstream)
 {
     return !upstream.leaving ||
@@ -129,7 +130,8 @@
         return {promote_action{m_record.primary, version, m_write_sent_at,
                                m_write_sent_at + promotion_call_timeout}};
     default:
-        return finish(claim_outcome::settled);
+        return finish(m_keeps_leaving_primary ? claim_outcome::not_caught_up
+                                              : claim_outcome::settled);
     }
 }
 
@@ -259,7 +261,7 @@
     const auto* registered = find_upstream(view, m_record.primary);
     const auto* report = status_of(m_record.primary);
     if (!m_record.promoting || registered == nullptr ||
-        !may_lead(view, *registered) ||
+        !may_be_promoted(view, *registered) ||
         registered->started_at_ms != m_record.started_at_ms ||
         report == nullptr || report->requested_at < m_claimed_at ||
         !report->status.is_primary || report->status.term <= m_record.term)
@@ -267,32 +269,111 @@
     return m_record.primary;
 }
 
+// Whether a database may be promoted. A leaving one may be the only one that
+// has all acknowledged commits; it is replaced once another has caught up.
+bool claim::may_be_promoted(const claim_view& view,
+                            const routes::upstream& upstream) const
+{
+    const bool is_demoted =
+        m_demoted_at && upstream.id == m_initial_record.primary;
+    return may_lead(view, upstream) || (view.sync_replicas > 0 && !is_demoted &&
+                                        !view.gone.contains(upstream.id));
+}
+
+// Whether a log is as long as all known ones, of which at least one has every
+// acknowledged commit. What a demoted primary has received since another
+// database caught up with it was not acknowledged to a caller.
+bool claim::has_acknowledged_commits(const claim_view& view,
+                                     const sql::database_status& status) const
+{
+    if (view.sync_replicas == 0)
+        return true;
+    if (m_caught_up_with && status.received < *m_caught_up_with)
+        return false;
+    return std::none_of(view.upstreams.begin(), view.upstreams.end(),
+                        [&](const routes::upstream& upstream) {
+                            const auto* report = status_of(upstream.id);
+                            const bool is_demoted =
+                                m_demoted_at &&
+                                upstream.id == m_initial_record.primary;
+                            return report != nullptr && !is_demoted &&
+                                   !view.gone.contains(upstream.id) &&
+                                   report->status.received > status.received;
+                        });
+}
+
 std::optional<std::string> claim::best_candidate(const claim_view& view) const
 {
-    // Among equal logs, the present primary needs no promotion.
-    const auto rank = [](const sql::database_status& status) {
-        return std::pair(status.received, status.is_primary ? status.term : 0);
+    // Among equal logs, a database that stays is preferred, and the present
+    // primary needs no promotion.
+    const auto rank = [&](const std::string& id) {
+        const auto& status = status_of(id)->status;
+        return std::tuple(status.received,
+                          may_lead(view, *find_upstream(view, id)),
+                          status.is_primary ? status.term : 0);
     };
     std::optional<std::string> best;
     for (const auto& upstream : view.upstreams)
     {
         const auto* report = status_of(upstream.id);
-        if (report == nullptr || !may_lead(view, upstream) ||
+        if (report == nullptr || !may_be_promoted(view, upstream) ||
+            !has_acknowledged_commits(view, report->status) ||
             m_rejected_at.contains(upstream.id))
             continue;
-        if (!best || rank(report->status) > rank(status_of(*best)->status))
+        if (!best || rank(upstream.id) > rank(*best))
             best = upstream.id;
     }
     return best;
 }
 
+// After the last event that could change a log.
+core::boot_instant claim::logs_fixed_at() const
+{
+    const auto since =
+        std::max(m_claimed_at, m_fenced_at.value_or(m_claimed_at));
+    return std::max(since, m_demoted_at.value_or(since));
+}
+
+// Whether the log of the recorded primary is known. It has every acknowledged
+// commit, unless the database has restarted.
+bool claim::knows_recorded_log(const claim_view& view) const
+{
+    const auto* registered = find_upstream(view, m_initial_record.primary);
+    const auto* report = status_of(m_initial_record.primary);
+    return registered != nullptr && report != nullptr &&
+           registered->started_at_ms == m_initial_record.started_at_ms &&
+           report->requested_at >= logs_fixed_at();
+}
+
+// Registered databases, without the recorded primary, whose log is not known.
+std::size_t claim::count_unknown_logs(const claim_view& view) const
+{
+    return static_cast<std::size_t>(std::count_if(
+        view.upstreams.begin(), view.upstreams.end(),
+        [&](const routes::upstream& upstream) {
+            const auto* report = status_of(upstream.id);
+            const bool is_known =
+                report != nullptr && report->requested_at >= logs_fixed_at();
+            return !is_known && upstream.id != m_initial_record.primary &&
+                   !view.gone.contains(upstream.id);
+        }));
+}
+
+// Whether some acknowledged commits may be only in logs that are not known:
+// each is in the log of the recorded primary and of `sync_replicas` other
+// databases. These are waited for while they are registered.
+bool claim::may_lack_acknowledged_commits(const claim_view& view) const
+{
+    return view.sync_replicas > 0 && !knows_recorded_log(view) &&
+           count_unknown_logs(view) >= view.sync_replicas;
+}
+
 // Whether every registered database has answered a request that was sent after
 // the last event that could change a log, or the wait for it has timed out.
 bool claim::has_all_statuses(const claim_view& view,
                              core::boot_instant now) const
 {
-    auto since = std::max(m_claimed_at, m_fenced_at.value_or(m_claimed_at));
-    since = std::max(since, m_demoted_at.value_or(since));
+    const auto since = logs_fixed_at();
     if (now - since > status_timeout)
         return true;
     const bool has_timed_out = now - m_claimed_at > status_timeout;
@@ -325,15 +406,41 @@
                        });
 }
 
-// Demotes a leaving primary, once; true when it did so now. A primary that is
-// not leaving is not demoted: promoting it again would not make it lead again.
-bool claim::demote_old_primary(const claim_view& view, claim_actions& out)
+// Whether a database that stays has received the whole log of a primary.
+bool claim::is_caught_up(const claim_view& view,
+                         const sql::database_status& primary) const
+{
+    return std::any_of(view.upstreams.begin(), view.upstreams.end(),
+                       [&](const routes::upstream& upstream) {
+                           const auto* report = status_of(upstream.id);
+                           return may_lead(view, upstream) &&
+                                  report != nullptr &&
+                                  report->requested_at >= logs_fixed_at() &&
+                                  report->status.received >= primary.received;
+                       });
+}
+
+// Demotes a leaving primary, once; true when it did so now, or when nothing is
+// promoted while it leads. A primary that is not leaving is not demoted:
+// promoting it again would not make it lead again. Where commits must be kept,
+// a database that stays has to catch up before; otherwise the primary is kept.
+bool claim::demote_old_primary(const claim_view& view, core::boot_instant now,
+                               claim_actions& out)
 {
     const auto* registered = find_upstream(view, m_initial_record.primary);
     const auto* old = status_of(m_initial_record.primary);
     if (m_demoted_at || registered == nullptr || may_lead(view, *registered) ||
         old == nullptr || !old->status.is_primary)
         return false;
+    if (view.sync_replicas > 0 && !is_caught_up(view, old->status))
+    {
+        m_keeps_leaving_primary = now - *m_fenced_at >= catch_up_timeout;
+        if (m_keeps_leaving_primary)
+            settle(view, m_initial_record.primary, now, out);
+        return true;
+    }
+    if (view.sync_replicas > 0)
+        m_caught_up_with = old->status.received;
     m_demoted_at = m_status_requested_at;
     out.emplace_back(
         demote_action{m_initial_record.primary, old->status.term + 1});
@@ -354,8 +461,8 @@
     if (fenced)
         if (const auto promoted = already_promoted(view))
             return settle(view, *promoted, now, out);
-    if (!fenced || demote_old_primary(view, out) ||
-        !has_all_statuses(view, now))
+    if (!fenced || demote_old_primary(view, now, out) ||
+        !has_all_statuses(view, now) || may_lack_acknowledged_commits(view))
         return;
     const auto best = best_candidate(view);
     if (!best || awaits_newer_log(view, *best, now))
--- a/src/plantainward/succession/claim.hpp
+++ b/src/plantainward/succession/claim.hpp
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -111,6 +112,11 @@
 {
     /// Registered databases of the service.
     std::vector<routes::upstream> upstreams;
+    /// Replicas that have received a commit when it is acknowledged. If there
+    /// are any, a promotion must include every acknowledged commit.
+    std::size_t sync_replicas{0};
+    /// Databases whose registration has ended and has not come back in time.
+    std::set<std::string> gone;
     /// Whether enough voters know the record of this version that no quorum can
     /// prove an older one any more.
     std::function<bool(std::uint64_t version)> majority_acknowledged;
@@ -155,13 +161,16 @@
     /// Another host has written a newer record.
     superseded,
     /// The platform did not answer this host's promotion calls.
-    unanswered
+    unanswered,
+    /// The record names the leaving primary again, since no database that stays
+    /// has all that must be kept.
+    not_caught_up
 };
 
 /// Names of the outcomes of claims in logs.
-inline constexpr core::enum_names<claim_outcome, 6> claim_outcome_names{
+inline constexpr core::enum_names<claim_outcome, 7> claim_outcome_names{
     {"settled", "conflict", "write_unknown", "too_late", "superseded",
-     "unanswered"}};
+     "unanswered", "not_caught_up"}};
 
 /// One attempt of this host to replace the primary of a service.
 ///
@@ -223,9 +232,20 @@
                                                  core::boot_instant now) const;
     std::optional<std::string> best_candidate(const claim_view& view) const;
     bool has_all_statuses(const claim_view& view, core::boot_instant now) const;
+    core::boot_instant logs_fixed_at() const;
+    bool knows_recorded_log(const claim_view& view) const;
+    std::size_t count_unknown_logs(const claim_view& view) const;
+    bool may_lack_acknowledged_commits(const claim_view& view) const;
+    bool may_be_promoted(const claim_view& view,
+                         const routes::upstream& upstream) const;
+    bool has_acknowledged_commits(const claim_view& view,
+                                  const sql::database_status& status) const;
+    bool is_caught_up(const claim_view& view,
+                      const sql::database_status& primary) const;
     void gather(const claim_view& view, core::boot_instant now,
                 claim_actions& out);
-    bool demote_old_primary(const claim_view& view, claim_actions& out);
+    bool demote_old_primary(const claim_view& view, core::boot_instant now,
+                            claim_actions& out);
     void write(leadership new_record, claim_stage stage, core::boot_instant now,
                claim_actions& out);
     void settle(const claim_view& view, const std::string& upstream,
@@ -255,6 +275,11 @@
     std::optional<core::boot_instant> m_accepted_at;
     int m_unanswered_calls{0};
     int m_unsent_calls{0};
+    /// Log that the leaving primary had when a database that stays had caught
+    /// up with it.
+    std::optional<upstream::log_point> m_caught_up_with;
+    /// The record is settled on a leaving primary.
+    bool m_keeps_leaving_primary{false};
     /// A promotion before the present one may have been called for.
     bool m_may_have_promoted{false};
     std::map<std::string, status_report> m_statuses;
--- a/src/plantainward/succession/succession.cpp
+++ b/src/plantainward/succession/succession.cpp
@@ -36,6 +36,23 @@
 // Pause after a claim that ended without a result.
 constexpr core::millis retry_pause{300};
 
+// Pause before a leaving primary is to be replaced again that was kept because
+// no other database had its log. The service is used meanwhile.
+constexpr core::millis catch_up_pause{1000};
+
+core::millis pause_after(claim_outcome outcome)
+{
+    switch (outcome)
+    {
+    case claim_outcome::unanswered:
+        return unanswered_pause;
+    case claim_outcome::not_caught_up:
+        return catch_up_pause;
+    default:
+        return retry_pause;
+    }
+}
+
 /// Whether most hosts that watch the primary suspect it. If this host watches
 /// it, it must suspect it too, unless it is the record's writer, for which the
 /// other hosts wait.
@@ -200,7 +217,7 @@
         return;
     const bool is_unanswered = m_claim->outcome() == claim_outcome::unanswered;
     m_has_unanswered_request = m_has_unanswered_request || is_unanswered;
-    m_next_claim_at = now + (is_unanswered ? unanswered_pause : retry_pause);
+    m_next_claim_at = now + pause_after(m_claim->outcome());
     end_claim(m_claim->outcome(), m_claim->last_stage());
 }
 
--- a/tests/platform_adapter/document_tests.cpp
+++ b/tests/platform_adapter/document_tests.cpp
@@ -103,6 +103,15 @@
     LONGS_EQUAL(47, decoded->services.at("s").max_connections);
 }
 
+// Guards against promotions that ignore how commits are acknowledged.
+TEST(documents, the_number_of_acknowledging_replicas_is_decoded)
+{
+    auto text = routing_text;
+    LONGS_EQUAL(0, decode_routing(text)->services.at("s").sync_replicas);
+    text.insert(text.find("\"max_connections\""), "\"sync_replicas\":1,");
+    LONGS_EQUAL(1, decode_routing(text)->services.at("s").sync_replicas);
+}
+
 TEST(documents, a_routing_without_a_required_field_is_rejected)
 {
     for (const char* field : {"version", "routes", "services", "host", "kind"})
--- a/tests/succession/claim_tests.cpp
+++ b/tests/succession/claim_tests.cpp
@@ -544,6 +544,155 @@
     STRCMP_EQUAL("r1", write->record.primary.c_str());
 }
 
+namespace
+{
+
+/// A claim in a service where a commit is acknowledged once one replica has
+/// received it.
+struct sync_claim_case : claim_case
+{
+    explicit sync_claim_case(claim_trigger trigger) : claim_case(trigger)
+    {
+        view.sync_replicas = 1;
+        write_claim();
+        acknowledged = 3;
+        tick_after(millis(1));
+        now += millis(5);
+    }
+
+    /// Database that the claim asks to promote; empty when it asks for none.
+    std::string promoted_after(millis time)
+    {
+        const auto actions = tick_after(time);
+        const auto* write = find<write_action>(actions);
+        return write != nullptr && write->record.promoting
+                   ? write->record.primary
+                   : std::string();
+    }
+};
+
+} // namespace
+
+TEST_GROUP(sync_claim){};
+
+// Guards against acknowledged writes that are lost at a promotion: only the
+// leaving replica had received them, and the other one was promoted.
+TEST(sync_claim, a_leaving_replica_is_promoted_when_only_it_has_all_commits)
+{
+    sync_claim_case c(claim_trigger::lost);
+    c.view.upstreams[2].leaving = true;
+    c.answer_all();
+    STRCMP_EQUAL("r2", c.promoted_after(millis(1)).c_str());
+}
+
+TEST(sync_claim, a_database_that_stays_is_preferred_among_equal_logs)
+{
+    sync_claim_case c(claim_trigger::lost);
+    c.view.upstreams[2].leaving = true;
+    c.answer_all();
+    c.attempt.on_status("r1", c.now, status(false, 3, {3, 12}));
+    STRCMP_EQUAL("r1", c.promoted_after(millis(1)).c_str());
+}
+
+// Guards against the same loss when the database that has the commits is slow
+// to tell its log.
+TEST(sync_claim, nothing_is_promoted_while_a_registered_log_is_not_known)
+{
+    sync_claim_case c(claim_trigger::lost);
+    c.attempt.on_status("p", c.now, {std::nullopt, true});
+    c.attempt.on_status("r1", c.now, status(false, 3, {3, 10}));
+    for (int i = 0; i < 50; ++i)
+        STRCMP_EQUAL("", c.promoted_after(millis(100)).c_str());
+    c.attempt.on_status("r2", c.now, status(false, 3, {3, 12}));
+    STRCMP_EQUAL("r2", c.promoted_after(millis(1)).c_str());
+}
+
+TEST(sync_claim, a_registered_database_that_is_down_is_waited_for)
+{
+    sync_claim_case c(claim_trigger::lost);
+    c.answer_all();
+    c.attempt.on_status("r2", c.now, {std::nullopt, true});
+    STRCMP_EQUAL("", c.promoted_after(millis(500)).c_str());
+}
+
+TEST(sync_claim, a_database_that_is_no_longer_registered_is_not_waited_for)
+{
+    sync_claim_case c(claim_trigger::lost);
+    c.answer_all();
+    c.attempt.on_status("r2", c.now, {std::nullopt, true});
+    c.view.upstreams[2].leaving = true;
+    c.view.gone = {"r2"};
+    STRCMP_EQUAL("r1", c.promoted_after(millis(500)).c_str());
+}
+
+TEST(sync_claim, two_acknowledging_replicas_allow_one_unknown_log)
+{
+    sync_claim_case c(claim_trigger::lost);
+    c.view.sync_replicas = 2;
+    c.answer_all();
+    c.attempt.on_status("r2", c.now, {std::nullopt, true});
+    STRCMP_EQUAL("r1", c.promoted_after(millis(1)).c_str());
+}
+
+TEST(sync_claim, after_a_rejected_promotion_no_shorter_log_is_promoted)
+{
+    sync_claim_case c(claim_trigger::lost);
+    c.answer_all();
+    STRCMP_EQUAL("r2", c.promoted_after(millis(1)).c_str());
+    c.attempt.on_write(write_outcome::written, 9, c.now);
+    c.attempt.on_promote(promotion_outcome::rejected, c.now);
+    c.now += millis(100);
+    c.answer_all();
+    STRCMP_EQUAL("", c.promoted_after(millis(1)).c_str());
+}
+
+// Guards against a leaving primary that is demoted before another database has
+// its log: the platform would not make it lead again.
+TEST(sync_claim, a_leaving_primary_is_kept_until_a_replica_has_its_log)
+{
+    sync_claim_case c(claim_trigger::leaving);
+    c.view.upstreams[0].leaving = true;
+    c.answer_all();
+    c.attempt.on_status("p", c.now, status(true, 3, {3, 14}));
+    auto actions = c.tick_after(millis(1));
+    CHECK(find<demote_action>(actions) == nullptr);
+    CHECK(find<write_action>(actions) == nullptr);
+    actions = c.tick_after(millis(1100));
+    const auto* write = find<write_action>(actions);
+    CHECK(write != nullptr);
+    CHECK(write->record.phase == leadership_phase::settled);
+    STRCMP_EQUAL("p", write->record.primary.c_str());
+    c.attempt.on_write(write_outcome::written, 7, c.now);
+    CHECK(c.attempt.outcome() == claim_outcome::not_caught_up);
+}
+
+TEST(sync_claim, a_leaving_primary_is_replaced_once_a_replica_has_its_log)
+{
+    sync_claim_case c(claim_trigger::leaving);
+    c.view.upstreams[0].leaving = true;
+    c.answer_all();
+    c.attempt.on_status("p", c.now, status(true, 3, {3, 12}));
+    CHECK(find<demote_action>(c.tick_after(millis(1))) != nullptr);
+    c.now += millis(60);
+    c.answer_all();
+    c.attempt.on_status("p", c.now, status(false, 4, {3, 13}));
+    // The last commit came after all hosts had stopped to use the primary.
+    STRCMP_EQUAL("r2", c.promoted_after(millis(1100)).c_str());
+}
+
+TEST(sync_claim, no_other_log_is_waited_for_when_the_recorded_primary_tells_its)
+{
+    sync_claim_case c(claim_trigger::leaving);
+    c.view.upstreams[0].leaving = true;
+    c.attempt.on_status("p", c.now, status(true, 3, {3, 12}));
+    c.attempt.on_status("r2", c.now, status(false, 3, {3, 12}));
+    CHECK(find<demote_action>(c.tick_after(millis(1))) != nullptr);
+    c.now += millis(60);
+    c.attempt.on_status("p", c.now, status(false, 4, {3, 12}));
+    c.attempt.on_status("r2", c.now, status(false, 3, {3, 12}));
+    STRCMP_EQUAL("r2", c.promoted_after(millis(400)).c_str());
+}
+
 TEST_GROUP(primary_lease)
 {
     boot_instant now{std::chrono::seconds(100)};
