Odd entries among the databases hide nothing and name no database

Databases of services that no routing names were probed. One malformed entry of the host list of plantainwardd hid the others.

The stand-in of the store decodes its queries.

--- a/src/plantainward/entry/entry_host.cpp
+++ b/src/plantainward/entry/entry_host.cpp
@@ -113,6 +113,11 @@
 void entry_host::update_upstreams(core::boot_instant now, entry_actions& out)
 {
     auto usable = m_directory.usable(now);
+    // Another writer may have left entries of other services. A service that an
+    // earlier routing named still counts, since its transactions go on.
+    std::erase_if(usable, [&](const routes::upstream& upstream) {
+        return !m_successions.contains(upstream.service);
+    });
     if (usable == m_upstreams)
         return;
     for (const auto& upstream : usable)
--- a/src/plantainward/platform/wire.cpp
+++ b/src/plantainward/platform/wire.cpp
@@ -35,10 +35,27 @@
     }
 }
 
-core::address address_from(const json::value& text)
+std::optional<core::address> address_in(const json::value* field)
 {
-    return core::parse_address(std::string(text.as_string()))
-        .value_or(core::address{});
+    const auto* text = field == nullptr ? nullptr : field->if_string();
+    return text == nullptr ? std::nullopt
+                           : core::parse_address(std::string(*text));
+}
+
+std::optional<core::host> proxy_from(const json::value& item)
+{
+    const auto* fields = item.if_object();
+    if (fields == nullptr)
+        return std::nullopt;
+    const auto* name = fields->if_contains("name");
+    const auto* domain = fields->if_contains("failure_domain");
+    const auto caller = address_in(fields->if_contains("caller"));
+    const auto peer = address_in(fields->if_contains("peer"));
+    if (name == nullptr || !name->is_string() || domain == nullptr ||
+        !domain->is_string() || !caller || !peer)
+        return std::nullopt;
+    return core::host{std::string(name->get_string()),
+                      std::string(domain->get_string()), *caller, *peer};
 }
 
 } // namespace
@@ -78,17 +95,13 @@
 {
     return decode_object(text, [](const json::object& fields) {
         listed_hosts hosts;
+        // A malformed entry names nobody; the others hold.
         for (const auto& item : fields.at("proxies").as_array())
-        {
-            const auto& proxy = item.as_object();
-            hosts.proxies.push_back(
-                {std::string(proxy.at("name").as_string()),
-                 std::string(proxy.at("failure_domain").as_string()),
-                 address_from(proxy.at("caller")),
-                 address_from(proxy.at("peer"))});
-        }
+            if (auto proxy = proxy_from(item))
+                hosts.proxies.push_back(std::move(*proxy));
         for (const auto& item : fields.at("leaving_upstreams").as_array())
-            hosts.leaving_upstreams.push_back(address_from(item));
+            if (auto address = address_in(&item))
+                hosts.leaving_upstreams.push_back(std::move(*address));
         return hosts;
     });
 }
--- a/standins/row_store/row_store.cpp
+++ b/standins/row_store/row_store.cpp
@@ -1,5 +1,6 @@
 #include <row_store/row_store.hpp>
 
+#include <charconv>
 #include <utility>
 
 #include <boost/beast/core/detail/base64.hpp>
@@ -24,6 +25,23 @@
     return text;
 }
 
+std::string percent_decode(const std::string& text)
+{
+    constexpr std::size_t escape_length = 3;
+    std::string decoded;
+    for (std::size_t i = 0; i < text.size(); ++i)
+    {
+        unsigned byte = 0;
+        const auto* digits = text.data() + i + 1;
+        const bool is_escape =
+            text[i] == '%' && i + escape_length <= text.size() &&
+            std::from_chars(digits, digits + 2, byte, 16).ptr == digits + 2;
+        decoded += is_escape ? static_cast<char>(byte) : text[i];
+        i += is_escape ? escape_length - 1 : 0;
+    }
+    return decoded;
+}
+
 std::map<std::string, std::string> query_of(const std::string& target)
 {
     std::map<std::string, std::string> query;
@@ -34,7 +52,8 @@
         const auto part = target.substr(position + 1, next - position - 1);
         const auto equals_sign = part.find('=');
         if (equals_sign != std::string::npos)
-            query[part.substr(0, equals_sign)] = part.substr(equals_sign + 1);
+            query[part.substr(0, equals_sign)] =
+                percent_decode(part.substr(equals_sign + 1));
         position = next;
     }
     return query;
--- a/tests/platform/platform_tests.cpp
+++ b/tests/platform/platform_tests.cpp
@@ -162,3 +162,29 @@
         CHECK_FALSE(platform::wire::decode_hosts(text).has_value());
     }
 }
+
+// Guards against a list that is not followed any more because of one entry.
+TEST(platform_wire, a_malformed_entry_of_the_host_list_hides_no_other)
+{
+    const std::string sound = R"({"name":"h","failure_domain":"a",
+        "caller":"127.0.0.1:1","peer":"127.0.0.1:2"})";
+    const auto with_entry = [&](const std::string& entry) {
+        return platform::wire::decode_hosts(
+            R"({"proxies":[)" + entry + "," + sound +
+            R"(],"leaving_upstreams":[)" + entry + R"(,"127.0.0.1:3"]})");
+    };
+    for (const char* entry :
+         {"null", "7", "1e400", "[]", "{}", R"("127.0.0.1:65536")",
+          R"({"name":7,"failure_domain":"a","caller":"127.0.0.1:1",
+              "peer":"127.0.0.1:2"})",
+          R"({"name":"x","failure_domain":"a","caller":"127.0.0.1:65536",
+              "peer":"127.0.0.1:2"})",
+          R"({"name":"x","failure_domain":"a","caller":"127.0.0.1:1"})"})
+    {
+        const auto hosts = with_entry(entry);
+        CHECK_TEXT(hosts.has_value(), entry);
+        LONGS_EQUAL(1, hosts->proxies.size());
+        STRCMP_EQUAL("h", hosts->proxies.front().name.c_str());
+        LONGS_EQUAL(1, hosts->leaving_upstreams.size());
+    }
+}
--- a/tests/platform_adapter/document_tests.cpp
+++ b/tests/platform_adapter/document_tests.cpp
@@ -4,6 +4,8 @@
 #include <plantainward/core/digest.hpp>
 #include <plantainward/core/last_error.hpp>
 
+#include <support/odd_entries.hpp>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace plantainward;
@@ -91,6 +93,32 @@
     CHECK_FALSE(decode_upstream("i", "").has_value());
 }
 
+// Guards against processes that end, or use what is no database, because of an
+// entry of another writer.
+TEST(documents, an_odd_entry_among_the_databases_names_no_database)
+{
+    for (const auto& [what, text] : support::odd_entries())
+        CHECK_FALSE_TEXT(decode_upstream("i-1", text).has_value(),
+                         what.c_str());
+}
+
+// Guards against an id that ends the line in which it is sent to a database,
+// and goes on as another request.
+TEST(documents, an_id_that_is_no_word_names_no_database)
+{
+    for (const char* id : {"", " ", "a b", "i\r\nQUERY 1 WRITE a 1", "i\x7f"})
+        CHECK_FALSE_TEXT(decode_upstream(id, registration_text).has_value(),
+                         id);
+}
+
+TEST(documents, a_time_limit_too_large_for_the_clock_is_ignored)
+{
+    auto text = routing_text;
+    text.replace(text.find("800"), 3, "1e300");
+    const auto decoded = decode_routing(text);
+    CHECK(decoded->find("db1")->timeout == routes::route{}.timeout);
+}
+
 TEST(documents, the_routing_is_decoded)
 {
     const auto decoded = decode_routing(routing_text);
--- a/tests/pool_processes/pool_process_tests.cpp
+++ b/tests/pool_processes/pool_process_tests.cpp
@@ -3,6 +3,7 @@
 #include <process.hpp>
 #include <row_store/row_store.hpp>
 #include <support/loopback.hpp>
+#include <support/odd_entries.hpp>
 #include <support/raw_client.hpp>
 
 #include <algorithm>
@@ -92,6 +93,7 @@
         CHECK(store != nullptr);
         store->put("op", "config", routing_text(1, max_connections));
         store->put("servers", "damaged", "{\"service\":7}");
+        put_odd_entries();
         store->put("plantainward_hosts", "damaged", "x");
         store->put("plantainward_primaries", "damaged", "x");
         for (int i = 0; i < 3; ++i)
@@ -100,11 +102,7 @@
             const auto port = static_cast<std::uint16_t>(database_port + i);
             databases.push_back(std::make_unique<standin::line_database>(
                 io, id, core::address{loopback, port}, group));
-            store->put("servers", id,
-                       R"({"service":"s","address":")" + address_text(port) +
-                           R"(","zone":"a","state":"ready","database_role":")" +
-                           (i == 0 ? "primary" : "replica") +
-                           R"(","born":1,"sequence":1})");
+            put_database(i, "ready");
         }
         thread = std::thread([this] { io.run(); });
         for (int i = 0; i < host_count; ++i)
@@ -120,6 +118,27 @@
         thread.join();
     }
 
+    void put_odd_entries()
+    {
+        int number = 0;
+        for (const auto& [what, text] : support::odd_entries())
+            store->put("servers", "odd-" + std::to_string(++number), text);
+        for (const auto& key : support::odd_keys())
+            store->put("servers", key, "x");
+        store->put("servers", "\xff\xfe", "x");
+    }
+
+    void put_database(int database, const std::string& state)
+    {
+        const auto port = static_cast<std::uint16_t>(database_port + database);
+        store->put("servers", "db-" + std::to_string(database),
+                   R"({"service":"s","address":")" + address_text(port) +
+                       R"(","zone":"a","state":")" + state +
+                       R"(","database_role":")" +
+                       (database == 0 ? "primary" : "replica") +
+                       R"(","born":1,"sequence":1})");
+    }
+
     void start(int host)
     {
         processes.push_back(start_host(host, settings_text(host)));
@@ -333,6 +352,40 @@
                    id.c_str());
 }
 
+// Guards against hosts that end, or stop to follow the list of databases,
+// because of an entry of another writer.
+TEST(pool_processes, odd_entries_end_no_host_and_hide_no_database)
+{
+    pool_fleet fleet;
+    // Written again while the hosts follow the list, also in place of a
+    // database's own entry.
+    fleet.put_odd_entries();
+    for (const auto& [what, text] : support::odd_entries())
+    {
+        fleet.store->put("servers", "db-1", text);
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    fleet.put_database(1, "ready");
+    fleet.put_database(2, "draining");
+    const auto knows_leaving_database = [](int host) {
+        std::ifstream log(log_folder + "/pool-" + std::to_string(host) +
+                          ".log");
+        const std::string text(std::istreambuf_iterator<char>(log), {});
+        return contains(text, "db-2 at ") && contains(text, ", leaving");
+    };
+    for (int host = 0; host < host_count; ++host)
+    {
+        for (int i = 0; i < 100 && !knows_leaving_database(host); ++i)
+            std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        CHECK(knows_leaving_database(host));
+        // No host is started again here, so one that has ended is not ready.
+        CHECK(pool_fleet::wait_ready(host));
+        support::raw_client caller({loopback, port_of(host, 0)});
+        caller.send("START cards u\r\nQUERY 1 WRITE a 1\r\n");
+        CHECK(contains(caller.read_until("DONE db-"), "DONE db-"));
+    }
+}
+
 // Guards against work that is lost at a host which is not ready: it must refuse
 // forwarded work, so that the sender tries another host.
 TEST(pool_processes, a_host_that_is_starting_refuses_forwarded_work)
--- a/tests/relay/update_follower_tests.cpp
+++ b/tests/relay/update_follower_tests.cpp
@@ -31,7 +31,7 @@
     update.routing.emplace();
     update.routing->version = version;
     update.routing->routes["cards"].timeout = millis(700);
-    update.routing->services["ledger"].max_connections = 70;
+    update.routing->services["ledger"] = {70, 1};
     update.upstreams.emplace().push_back(
         {"i-1", "ledger", {"10.0.0.1", 5}, "a", false, true, 7});
     update.hosts.emplace()["host-1"] = {{"10.0.0.2", 6}, "b", 170};
@@ -119,6 +119,7 @@
     CHECK(decoded->routing_proof == sample_update(9).routing_proof);
     LONGS_EQUAL(700, decoded->routing->routes.at("cards").timeout.count());
     LONGS_EQUAL(70, decoded->routing->services.at("ledger").max_connections);
+    LONGS_EQUAL(1, decoded->routing->services.at("ledger").sync_replicas);
     CHECK(decoded->upstreams == sample_update(9).upstreams);
     CHECK(decoded->hosts == sample_update(9).hosts);
     CHECK_FALSE(decode_update("x").has_value());
