A database that is being removed starts no statement any more

Cause: when the connections to a restarted database are closed, a session whose write is lost is told so, and its next request, which had arrived before, starts at once: on the database that is being removed. Its connection vanished with it.

Change: such a database starts no statement (`upstream_pool::retire`).

--- a/src/plantainward/pooling/pooler.cpp
+++ b/src/plantainward/pooling/pooler.cpp
@@ -137,9 +137,12 @@
         }
         for (const auto& id : removed)
         {
+            // What ran on the connections may be followed by other statements
+            // of the same sessions, which must not start here.
+            auto& pool = service.upstreams.at(id);
+            pool.retire();
             std::vector<connection_id> open_connections;
-            for (const auto& [number, connection] :
-                 service.upstreams.at(id).connections())
+            for (const auto& [number, connection] : pool.connections())
                 open_connections.push_back(number);
             for (const auto number : open_connections)
                 drop(number);
--- a/src/plantainward/pooling/upstream_pool.cpp
+++ b/src/plantainward/pooling/upstream_pool.cpp
@@ -214,7 +214,7 @@
 
 bool upstream_pool::may_send(core::boot_instant now) const
 {
-    return now >= m_no_send_before && may_send_another() &&
+    return !m_is_retired && now >= m_no_send_before && may_send_another() &&
            !(m_is_shared && m_busy_pause.is_active(now));
 }
 
--- a/src/plantainward/pooling/upstream_pool.hpp
+++ b/src/plantainward/pooling/upstream_pool.hpp
@@ -52,6 +52,9 @@
         return m_leaving_since && now - *m_leaving_since >= m_leaving_grace;
     }
 
+    /// The database is gone: no statement starts here any more.
+    void retire() { m_is_retired = true; }
+
     /// Sets the largest number of connections that this host may hold.
     void set_share(std::size_t share) { m_share = share; }
     std::size_t share() const { return m_share; }
@@ -225,6 +228,7 @@
     routes::upstream m_registration;
     core::millis m_leaving_grace;
     std::optional<core::boot_instant> m_leaving_since;
+    bool m_is_retired{false};
     std::size_t m_share{1};
     connection_budget m_budget;
     bool m_is_shared{false};
--- a/tests/pooling/pooler_tests.cpp
+++ b/tests/pooling/pooler_tests.cpp
@@ -303,6 +303,25 @@
     CHECK(c.replies.back().reply.error == error_kind::outcome_unknown);
 }
 
+// Guards against a process that ends: the next statement of a session whose
+// write was lost started on the database that was being removed, and its
+// connection vanished with it.
+TEST(pooler, a_statement_behind_a_lost_write_does_not_start_at_a_database_gone)
+{
+    c.open_session(1, "cards");
+    c.submit(1, statement_kind::write, "WRITE a 1");
+    c.complete_open();
+    c.submit(1, statement_kind::read, "READ a");
+    auto restarted = c.upstream("p");
+    restarted.started_at_ms = 2;
+    c.apply(c.pool.set_upstreams({restarted, c.upstream("r")}, c.now));
+    CHECK(c.replies.back().reply.error == error_kind::outcome_unknown);
+    LONGS_EQUAL(2, c.opened.back().upstream.started_at_ms);
+    c.now += millis(900);
+    c.apply(c.pool.tick(c.now));
+    LONGS_EQUAL(2, c.replies.size());
+}
+
 TEST(pooler, an_older_routing_never_comes_back)
 {
     routes::routing older;
