--- a/tests/pool_processes/pool_process_tests.cpp
+++ b/tests/pool_processes/pool_process_tests.cpp
@@ -315,8 +315,7 @@
     caller.read_until("READY I -\r\n");
     for (int count = 1;; ++count)
     {
-        const auto id =
-            std::to_string(caller_number) + "-" + std::to_string(count);
+        auto id = std::to_string(caller_number) + "-" + std::to_string(count);
         caller.discard_text();
         caller.send("QUERY " + id + " READ a\r\n");
         if (!contains(caller.read_until("READY "), "READY "))
@@ -338,6 +337,7 @@
     constexpr int caller_count = 8;
     std::vector<std::string> cut(caller_count);
     std::vector<std::thread> callers;
+    callers.reserve(caller_count);
     for (int i = 0; i < caller_count; ++i)
         callers.emplace_back([&, i] { cut[i] = find_cut_request(i); });
     std::this_thread::sleep_for(std::chrono::seconds(1));
