--- a/src/plantainward/succession/claim.cpp
+++ b/src/plantainward/succession/claim.cpp
@@ -432,14 +432,17 @@
     if (m_demoted_at || registered == nullptr || may_lead(view, *registered) ||
         old == nullptr || !old->status.is_primary)
         return false;
-    if (view.sync_replicas > 0 && !is_caught_up(view, old->status))
+    const bool keeps_commits = view.sync_replicas > 0;
+    const bool has_successor =
+        old->requested_at >= logs_fixed_at() && is_caught_up(view, old->status);
+    if (keeps_commits && !has_successor)
     {
         m_keeps_leaving_primary = now - *m_fenced_at >= catch_up_timeout;
         if (m_keeps_leaving_primary)
             settle(view, m_initial_record.primary, now, out);
         return true;
     }
-    if (view.sync_replicas > 0)
+    if (keeps_commits)
         m_caught_up_with = old->status.received;
     m_demoted_at = m_status_requested_at;
     out.emplace_back(
--- a/tests/succession/claim_tests.cpp
+++ b/tests/succession/claim_tests.cpp
@@ -680,6 +680,19 @@
     STRCMP_EQUAL("r2", c.promoted_after(millis(1100)).c_str());
 }
 
+// Guards against commits that a primary has acknowledged after it told its log
+// and before all hosts had stopped to use it.
+TEST(sync_claim, a_log_from_before_the_fence_demotes_no_primary)
+{
+    sync_claim_case c(claim_trigger::leaving);
+    c.view.upstreams[0].leaving = true;
+    c.answer_all();
+    c.attempt.on_status("p", c.now - millis(100), status(true, 3, {3, 12}));
+    CHECK(find<demote_action>(c.tick_after(millis(1))) == nullptr);
+    c.attempt.on_status("p", c.now, status(true, 3, {3, 13}));
+    CHECK(find<demote_action>(c.tick_after(millis(1))) == nullptr);
+}
+
 TEST(sync_claim, no_other_log_is_waited_for_when_the_recorded_primary_tells_its)
 {
     sync_claim_case c(claim_trigger::leaving);
