Prepared statements whose shape holds blanks run the text of their caller

Callers saw: EXECUTE of a statement whose shape holds a blank was refused with MALFORMED, or the database ran another text than the caller had sent (UNASKED) under another shape than it had prepared (PINNED). The wire allows such shapes: the last field of a line extends to its end.

Cause: databases know a prepared statement under a name that the proxy makes from mode and shape. With `PREPARE s1 READ x WRITE y z` the database received `PREPARE r_x WRITE y z READ x WRITE y z`, and took `r_x` for the name, WRITE for the mode and the rest for the shape; `EXECUTE s1 17a` became `EXECUTE r_x WRITE y z 17a`, with the item `WRITE`. A shape of more than half a megabyte also made a line longer than databases accept, as it stood there twice.

Why this works: the name is one word now. A shape that is a word of at most 64 bytes stays in the name, so the texts of the site's own shapes are unchanged; any other shape is replaced by its digest, under a prefix that no plain name has.

--- a/src/plantainward/pooling/session_rules.cpp
+++ b/src/plantainward/pooling/session_rules.cpp
@@ -1,5 +1,9 @@
 #include <plantainward/pooling/session_rules.hpp>
 
+#include <plantainward/core/digest.hpp>
+
+#include <algorithm>
+#include <string_view>
 #include <utility>
 
 namespace plantainward::pooling
@@ -14,6 +18,18 @@
 constexpr std::size_t max_values = 256;
 constexpr std::size_t max_prepared = 1024;
 
+// A name precedes its shape on one line, whose length databases limit.
+constexpr std::size_t max_shape_in_name = 64;
+
+// Whether a shape can be part of a name; the wire ends a name at a blank.
+bool fits_in_name(std::string_view shape)
+{
+    return shape.size() <= max_shape_in_name &&
+           std::all_of(shape.begin(), shape.end(), [](const char c) {
+               return static_cast<unsigned char>(c) > ' ';
+           });
+}
+
 std::optional<sql::reply> answer_in_failed_transaction(session& session,
                                                        statement_kind kind)
 {
@@ -127,6 +143,10 @@
 
 std::string shared_name(const prepared_statement& statement)
 {
+    // The prefixes keep a digest apart from a shape that is spelled like one.
+    if (!fits_in_name(statement.shape))
+        return (statement.writes ? "wd_" : "rd_") +
+               core::sha256_hex(statement.shape);
     return (statement.writes ? "w_" : "r_") + statement.shape;
 }
 
--- a/src/plantainward/pooling/session_rules.hpp
+++ b/src/plantainward/pooling/session_rules.hpp
@@ -25,8 +25,8 @@
 /// preparation says so.
 bool writes_data(const session& session, const sql::statement& statement);
 
-/// The name under which databases know a prepared statement. Sessions that
-/// prepare the same shape share it.
+/// The name under which databases know a prepared statement: one word, made
+/// from the shape or its digest. Sessions that prepare the same shape share it.
 std::string shared_name(const prepared_statement& statement);
 
 } // namespace plantainward::pooling
