A transaction whose first statement is lost is aborted

The first statement of a transaction ran on one connection and the rest of the transaction on another, whenever the answer to the first statement was lost: the connection was closed or reset, the answer was presumed lost after 300 ms, the database was gone or had restarted, or the host to which the statement was forwarded was lost. The first database could still be at work on its copy.

Cause: `pooler::handle_lost_work` queued a first statement again although it had been sent; only later statements aborted their transaction.

Change: a transaction is bound to the connection to which its first statement was sent. If that is lost after the sending, the transaction is aborted with a promise, and the caller begins it again with new ids. What was never sent (the connection opened, or received values, PREPARE or BEGIN) or was refused as not run still begins elsewhere. A first statement that is a COMMIT is unknown, as before; reads outside transactions are run again, as before. A host that ran the statement for another one answers in the same way and does not return it.

Why it works: `sent` is true from the moment at which the statement is given to its connection, in the only place through which lost connections, lost answers and lost hosts come.

--- a/src/plantainward/pooling/pooler_connections.cpp
+++ b/src/plantainward/pooling/pooler_connections.cpp
@@ -170,7 +170,9 @@
                               std::string_view detail)
 {
     auto& work = *session.current;
-    const bool is_pinned = session.transaction && !work.begins;
+    // The database may still run a first statement that was sent, and the rest
+    // of the transaction must not run on another connection.
+    const bool is_bound = session.transaction && (sent || !work.begins);
     report_decision(decision_kind::lost, session,
                     work.forwarded ? work.forwarded->host : std::string(),
                     std::string(detail));
@@ -182,7 +184,7 @@
     if (sent && work.is_unrepeatable)
         return refuse(session, core::error_kind::outcome_unknown,
                       "the connection to the database was lost");
-    if (is_pinned)
+    if (is_bound)
         return refuse(session, core::error_kind::transaction_lost,
                       "the connection of the transaction was lost");
     enqueue(session);
