A returned statement of an open transaction aborts the transaction

A statement of a transaction runs outside it; a write is kept by itself although its caller is told ABORTED.

Cause: a host that is starting returns all forwarded statements, so that their host tries another one (`try_elsewhere`). Between two statements of a forwarded transaction, nobody learns that its host has restarted; the next statement is returned, and `pooler::on_forwarded_reply` started it like one that begins something: at another host, or here on a connection without BEGIN.

Change: a returned statement that does not begin its transaction aborts it. It did not run, and the other host's connections are closed, so nothing is kept.

--- a/src/plantainward/pooling/pooler_forwarding.cpp
+++ b/src/plantainward/pooling/pooler_forwarding.cpp
@@ -173,7 +173,12 @@
     work.forwarded.reset();
     if (session.transaction)
         session.transaction->forwarded.reset();
-    if (!try_start(session))
+    // A host that has restarted knows nothing of the transactions before and
+    // returns their statements too.
+    if (session.transaction && !work.begins)
+        refuse(session, core::error_kind::transaction_lost,
+               "the host of the transaction has lost it");
+    else if (!try_start(session))
         enqueue(session);
     return collect_actions();
 }
--- a/tests/pooling/pinned_paths_tests.cpp
+++ b/tests/pooling/pinned_paths_tests.cpp
@@ -192,9 +192,33 @@
         apply(new_actions);
     }
 
+    void reply(forwarded_reply answer)
+    {
+        record(pool.on_forwarded_reply(1, forwarded.back().operation,
+                                       std::move(answer), now));
+    }
+
+    void run_first_statement()
+    {
+        submit_forwarded(statement_kind::write, "WRITE a 1");
+        forwarded_reply answer;
+        answer.reply.signature = "s";
+        reply(answer);
+        CHECK_FALSE(replies.back().reply.error.has_value());
+    }
+
     std::vector<forward_action> forwarded;
 };
 
+forwarded_reply returned_statement()
+{
+    forwarded_reply answer;
+    answer.reply.error = error_kind::unavailable;
+    answer.reply.text = "the host is starting";
+    answer.try_elsewhere = true;
+    return answer;
+}
+
 } // namespace
 
 TEST_GROUP(forwarded_transaction)
@@ -222,6 +246,30 @@
     CHECK(c.forwarded.back().work.part == transaction_part::first);
 }
 
+// Guards against a statement that runs outside its transaction: the host that
+// ran the transaction had restarted, and returned the statement while it was
+// starting.
+TEST(forwarded_transaction, a_later_statement_that_its_host_returns_aborts_it)
+{
+    c.run_first_statement();
+    c.pool.set_plan("ledger", {2, {}, {}});
+    c.submit_forwarded(statement_kind::write, "WRITE b 1");
+    c.reply(returned_statement());
+    CHECK(c.replies.back().reply.error == error_kind::transaction_lost);
+    LONGS_EQUAL(0, c.opened.size());
+}
+
+TEST(forwarded_transaction, a_commit_that_its_host_returns_is_not_sent_on)
+{
+    c.run_first_statement();
+    c.pool.set_plan("ledger", {2, {"second"}, {}});
+    c.submit_forwarded(statement_kind::commit, "COMMIT");
+    c.reply(returned_statement());
+    CHECK(c.replies.back().reply.error == error_kind::transaction_lost);
+    CHECK(c.replies.back().reply.state == transaction_state::idle);
+    LONGS_EQUAL(2, c.forwarded.size());
+}
+
 TEST_GROUP(remote_transaction)
 {
     pooler_case c;
