A connection that has lost a confirmed prepared name is closed

Callers would see: PINNED. A prepared name is unknown though its preparing was acknowledged, again and again on the same connection; and statements might run with other session values.

Cause: after NOSTMT for a name that the database had confirmed, the pooler forgot the connection's names only outside transactions, and went on believing its values. What clears the names at the database (RESET) clears the values too.

Change: the state of such a connection is not known, so it is closed, as after a SET that failed. `release` decides this now for all its callers.

Evidence: two tests of unexpected_answers, red before, green after. Costs one opening where a database answers NOSTMT, and nothing elsewhere.

--- a/src/plantainward/pooling/pooler_connections.cpp
+++ b/src/plantainward/pooling/pooler_connections.cpp
@@ -125,6 +125,8 @@
 {
     connection.user = 0;
     connection.last_used = m_now;
+    if (!connection.is_state_known)
+        return drop(connection.id);
     if (!in_transaction)
     {
         connection.stage = connection_stage::idle;
@@ -342,8 +344,7 @@
         add_watermark(*connection, answer);
         [[fallthrough]];
     case connection_stage::rolling_back:
-        if (answer.state != sql::transaction_state::idle ||
-            !connection->is_state_known)
+        if (answer.state != sql::transaction_state::idle)
             drop(id);
         else
             release(*connection, false);
@@ -386,11 +387,7 @@
         return retry_or_abort(connection, session, refusal, answer.state);
     const auto upstream = connection.upstream;
     session.current->connection = 0;
-    connection.user = 0;
-    if (connection.is_state_known)
-        release(connection, answer.state != sql::transaction_state::idle);
-    else
-        drop(connection.id);
+    release(connection, answer.state != sql::transaction_state::idle);
     retry_elsewhere(session, upstream, refusal);
 }
 
@@ -419,11 +416,7 @@
 {
     session.current->connection = 0;
     session.transaction->connection = 0;
-    connection.user = 0;
-    if (connection.is_state_known)
-        release(connection, state != sql::transaction_state::idle);
-    else
-        drop(connection.id);
+    release(connection, state != sql::transaction_state::idle);
     refuse(session, core::error_kind::transaction_lost,
            "the database did not continue the transaction");
     serve_queue();
@@ -505,11 +498,12 @@
     const auto refusal = *answer.error;
     const auto upstream = connection.upstream;
     report_decision(decision_kind::retried, session, upstream, answer.text);
+    // The database has cleared what it had confirmed.
+    if (refusal == sql::refusal::unknown_statement)
+        connection.is_state_known = false;
     const bool can_run_elsewhere = !session.transaction || work.begins;
     if (sql::is_not_run(refusal) && can_run_elsewhere)
     {
-        if (refusal == sql::refusal::unknown_statement)
-            connection.prepared.clear();
         if (session.transaction)
             session.transaction->connection = 0;
         work.connection = 0;
--- a/tests/pooling/pinned_paths_tests.cpp
+++ b/tests/pooling/pinned_paths_tests.cpp
@@ -3,6 +3,8 @@
 
 #include <support/pooler_case.hpp>
 
+#include <algorithm>
+
 using namespace support;
 
 namespace
@@ -160,6 +162,59 @@
     CHECK(c.last_command().kind == command_kind::begin);
 }
 
+TEST_GROUP(unexpected_answers)
+{
+    pooler_case c;
+
+    void setup() override
+    {
+        c.pool.set_plan("ledger", {1, {}, {}});
+        c.open_session(1, "cards");
+    }
+
+    bool was_closed(connection_id id) const
+    {
+        return std::find(c.closed.begin(), c.closed.end(), id) !=
+               c.closed.end();
+    }
+};
+
+// Guards against statements under the values and names of a connection that the
+// database has cleared on its own.
+TEST(unexpected_answers, a_connection_that_lost_a_confirmed_name_is_closed)
+{
+    c.submit(1, statement_kind::prepare, "", "s", "shape");
+    c.submit(1, statement_kind::begin, "BEGIN");
+    c.submit(1, statement_kind::read, "READ a");
+    const auto id = c.complete_open();
+    c.succeed(id, transaction_state::open);
+    c.succeed(id, transaction_state::open);
+    c.submit(1, statement_kind::execute, "", "s", "x");
+    CHECK(c.last_command().kind == command_kind::prepare);
+    c.succeed(id, transaction_state::open);
+    c.fail(id, refusal::unknown_statement, transaction_state::open);
+    CHECK(c.replies.back().reply.error.has_value());
+    CHECK(was_closed(id));
+}
+
+TEST(unexpected_answers, a_statement_with_a_lost_name_runs_elsewhere)
+{
+    c.submit(1, statement_kind::set_value, "", "role", "a");
+    c.submit(1, statement_kind::prepare, "", "s", "shape");
+    c.submit(1, statement_kind::execute, "", "s", "x");
+    const auto id = c.complete_open();
+    c.succeed(id);
+    c.succeed(id);
+    c.fail(id, refusal::unknown_statement);
+    CHECK(was_closed(id));
+    c.now += millis(100);
+    c.apply(c.pool.tick(c.now));
+    for (const auto& open : c.opened)
+        if (open.upstream.id == "p" && open.connection != id)
+            c.apply(c.pool.on_opened(open.connection, c.now));
+    LONGS_EQUAL(2, c.sent.back().commands.size());
+}
+
 namespace
 {
 
