A success from inside an unknown transaction is not passed on

Callers would see: a write or commit is acknowledged and then rolled back, if a database answers a statement outside transactions, or a commit, with success and another state than I.

Cause: the pooler passed the success on and rolled the connection back.

Change: the connection is closed and the answer counts as lost: a read runs again, a write or commit is unknown.

Evidence: three tests of unexpected_answers, red before, green after.

--- a/src/plantainward/pooling/pooler_connections.cpp
+++ b/src/plantainward/pooling/pooler_connections.cpp
@@ -432,6 +432,14 @@
     auto& work = *session.current;
     if (answer.error)
         return handle_statement_error(connection, session, std::move(answer));
+    const bool keeps_connection = session.transaction && !is_commit(work);
+    // The statement ran inside a transaction that nobody has begun, or its
+    // commit has left the transaction open: the answer is worth nothing.
+    if (!keeps_connection && answer.state != sql::transaction_state::idle)
+    {
+        drop(connection.id);
+        return serve_queue();
+    }
     auto& service = *service_of(connection.id);
     pool_of(connection.id)->count_overtaken(connection.sent_at);
     const auto duration =
@@ -466,13 +474,12 @@
                             !is_of_earlier_term;
     if (committed && answer.position)
         session.own_commit = freshness::watermark{m_now, *answer.position};
-    const bool keeps_connection = session.transaction && !is_commit(work);
     if (keeps_connection && answer.state != sql::transaction_state::open)
         return end_lost_transaction(connection, session, answer.state);
     if (keeps_connection)
         connection.stage = connection_stage::pinned;
     else
-        release(connection, answer.state != sql::transaction_state::idle);
+        release(connection, false);
     if (committed && !is_current)
     {
         refuse(session, core::error_kind::outcome_unknown,
--- a/tests/pooling/pinned_paths_tests.cpp
+++ b/tests/pooling/pinned_paths_tests.cpp
@@ -215,6 +215,43 @@
     LONGS_EQUAL(2, c.sent.back().commands.size());
 }
 
+// Guards against a success that is rolled back: the database answers from
+// inside a transaction that nobody has begun.
+TEST(unexpected_answers, a_write_that_ran_in_an_unknown_transaction_is_unknown)
+{
+    c.submit(1, statement_kind::write, "WRITE a 1");
+    const auto id = c.complete_open();
+    c.succeed(id, transaction_state::open);
+    CHECK(c.replies.back().reply.error == error_kind::outcome_unknown);
+    CHECK(was_closed(id));
+}
+
+TEST(unexpected_answers, a_read_that_ran_in_an_unknown_transaction_runs_again)
+{
+    c.submit(1, statement_kind::read, "READ a");
+    const auto first = c.complete_open();
+    c.succeed(first, transaction_state::failed);
+    CHECK(was_closed(first));
+    const auto second = c.complete_open();
+    CHECK(first != second);
+    c.succeed(second);
+    CHECK_FALSE(c.replies.back().reply.error.has_value());
+}
+
+TEST(unexpected_answers, a_commit_that_leaves_its_transaction_open_is_unknown)
+{
+    c.submit(1, statement_kind::begin, "BEGIN");
+    c.submit(1, statement_kind::write, "WRITE a 1");
+    const auto id = c.complete_open();
+    c.succeed(id, transaction_state::open);
+    c.succeed(id, transaction_state::open);
+    c.submit(1, statement_kind::commit, "COMMIT");
+    c.succeed(id, transaction_state::open);
+    CHECK(c.replies.back().reply.error == error_kind::outcome_unknown);
+    CHECK(c.replies.back().reply.state == transaction_state::idle);
+    CHECK(was_closed(id));
+}
+
 namespace
 {
 
