Shared names of prepared statements are one word

Callers would see: an EXECUTE of a statement whose shape contains a blank fails, since the database reads another name, mode and shape from the line. The shape is the last field of PREPARE and extends to the end of the line. Found by reading.

Cause: the name under which a shape is shared is the shape itself.

Change: blanks and percent signs of the shape are escaped in the name. Names of other shapes stay as they are.

--- a/src/plantainward/pooling/session_rules.cpp
+++ b/src/plantainward/pooling/session_rules.cpp
@@ -127,7 +127,17 @@
 
 std::string shared_name(const prepared_statement& statement)
 {
-    return (statement.writes ? "w_" : "r_") + statement.shape;
+    std::string name = statement.writes ? "w_" : "r_";
+    for (const char c : statement.shape)
+    {
+        if (c == ' ')
+            name += "%20";
+        else if (c == '%')
+            name += "%25";
+        else
+            name += c;
+    }
+    return name;
 }
 
 } // namespace plantainward::pooling
--- a/tests/pooling/pinned_paths_tests.cpp
+++ b/tests/pooling/pinned_paths_tests.cpp
@@ -3,6 +3,8 @@
 
 #include <support/pooler_case.hpp>
 
+#include <plantainward/pooling/session_rules.hpp>
+
 #include <algorithm>
 
 using namespace support;
@@ -362,6 +364,19 @@
     LONGS_EQUAL(2, c.forwarded.size());
 }
 
+TEST_GROUP(shared_names){};
+
+// Guards against a name of two words: the shape is the last field of its line
+// and may contain blanks.
+TEST(shared_names, a_shape_with_blanks_has_a_name_of_one_word)
+{
+    const auto name = shared_name({true, "a b"});
+    CHECK(name.find(' ') == std::string::npos);
+    CHECK(name != shared_name({true, "a%20b"}));
+    CHECK(name != shared_name({true, "ab"}));
+    STRCMP_EQUAL("w_q2c", shared_name({true, "q2c"}).c_str());
+}
+
 TEST_GROUP(remote_transaction)
 {
     pooler_case c;
