--- a/src/plantainward/pooling/pooler_connections.cpp
+++ b/src/plantainward/pooling/pooler_connections.cpp
@@ -125,6 +125,8 @@
 {
     connection.user = 0;
     connection.last_used = m_now;
+    if (!connection.is_state_known)
+        return drop(connection.id);
     if (!in_transaction)
     {
         connection.stage = connection_stage::idle;
@@ -170,7 +172,9 @@
                               std::string_view detail)
 {
     auto& work = *session.current;
-    const bool is_pinned = session.transaction && !work.begins;
+    // The database may still run a first statement that was sent, and the rest
+    // of the transaction must not run on another connection.
+    const bool is_bound = session.transaction && (sent || !work.begins);
     report_decision(decision_kind::lost, session,
                     work.forwarded ? work.forwarded->host : std::string(),
                     std::string(detail));
@@ -182,7 +186,7 @@
     if (sent && work.is_unrepeatable)
         return refuse(session, core::error_kind::outcome_unknown,
                       "the connection to the database was lost");
-    if (is_pinned)
+    if (is_bound)
         return refuse(session, core::error_kind::transaction_lost,
                       "the connection of the transaction was lost");
     enqueue(session);
@@ -340,8 +344,7 @@
         add_watermark(*connection, answer);
         [[fallthrough]];
     case connection_stage::rolling_back:
-        if (answer.state != sql::transaction_state::idle ||
-            !connection->is_state_known)
+        if (answer.state != sql::transaction_state::idle)
             drop(id);
         else
             release(*connection, false);
@@ -384,11 +387,7 @@
         return retry_or_abort(connection, session, refusal, answer.state);
     const auto upstream = connection.upstream;
     session.current->connection = 0;
-    connection.user = 0;
-    if (connection.is_state_known)
-        release(connection, answer.state != sql::transaction_state::idle);
-    else
-        drop(connection.id);
+    release(connection, answer.state != sql::transaction_state::idle);
     retry_elsewhere(session, upstream, refusal);
 }
 
@@ -417,11 +416,7 @@
 {
     session.current->connection = 0;
     session.transaction->connection = 0;
-    connection.user = 0;
-    if (connection.is_state_known)
-        release(connection, state != sql::transaction_state::idle);
-    else
-        drop(connection.id);
+    release(connection, state != sql::transaction_state::idle);
     refuse(session, core::error_kind::transaction_lost,
            "the database did not continue the transaction");
     serve_queue();
@@ -437,6 +432,14 @@
     auto& work = *session.current;
     if (answer.error)
         return handle_statement_error(connection, session, std::move(answer));
+    const bool keeps_connection = session.transaction && !is_commit(work);
+    // The statement ran inside a transaction that nobody has begun, or its
+    // commit has left the transaction open: the answer is worth nothing.
+    if (!keeps_connection && answer.state != sql::transaction_state::idle)
+    {
+        drop(connection.id);
+        return serve_queue();
+    }
     auto& service = *service_of(connection.id);
     pool_of(connection.id)->count_overtaken(connection.sent_at);
     const auto duration =
@@ -471,13 +474,12 @@
                             !is_of_earlier_term;
     if (committed && answer.position)
         session.own_commit = freshness::watermark{m_now, *answer.position};
-    const bool keeps_connection = session.transaction && !is_commit(work);
     if (keeps_connection && answer.state != sql::transaction_state::open)
         return end_lost_transaction(connection, session, answer.state);
     if (keeps_connection)
         connection.stage = connection_stage::pinned;
     else
-        release(connection, answer.state != sql::transaction_state::idle);
+        release(connection, false);
     if (committed && !is_current)
     {
         refuse(session, core::error_kind::outcome_unknown,
@@ -503,11 +505,12 @@
     const auto refusal = *answer.error;
     const auto upstream = connection.upstream;
     report_decision(decision_kind::retried, session, upstream, answer.text);
+    // The database has cleared what it had confirmed.
+    if (refusal == sql::refusal::unknown_statement)
+        connection.is_state_known = false;
     const bool can_run_elsewhere = !session.transaction || work.begins;
     if (sql::is_not_run(refusal) && can_run_elsewhere)
     {
-        if (refusal == sql::refusal::unknown_statement)
-            connection.prepared.clear();
         if (session.transaction)
             session.transaction->connection = 0;
         work.connection = 0;
