A host that follows another one fetches once at a time

Cause: update_follower::on_answer cleared m_is_busy before it passed the update on. For an update with the list of hosts the process chooses its source in the callback and calls start(), which fetched at once; on_answer then scheduled a further fetch. So each change of the list added a fetch, and each of them was answered with all hosts: after five changes 15 answers instead of 5. All of them share one timer and one count of failed sources: one source that ends fails all fetches together, which counts as an outage, and an answer to one fetch postpones the retry of another.

The follower now stays busy until the next fetch is scheduled. The instant of a request belongs to its call.

--- a/src/plantainward/relay/update_follower.cpp
+++ b/src/plantainward/relay/update_follower.cpp
@@ -70,25 +70,28 @@
     if (sources.empty())
         return try_next_source();
     m_is_busy = true;
-    m_requested_at = core::boot_clock::now();
+    const auto requested_at = core::boot_clock::now();
     m_client.call(sources[m_failed_sources % sources.size()],
                   peer::frame_kind::fetch_table_update,
                   encode(m_callbacks.known_versions()), fetch_timeout,
-                  [this](peer::call_outcome end, const peer::frame& answer) {
-                      on_answer(end, answer);
+                  [this, requested_at](peer::call_outcome end,
+                                       const peer::frame& answer) {
+                      on_answer(end, answer, requested_at);
                   });
 }
 
+// Stays busy until the next fetch is scheduled, since the receiver of an update
+// may call `start`.
 void update_follower::on_answer(peer::call_outcome end,
-                                const peer::frame& answer)
+                                const peer::frame& answer,
+                                core::boot_instant requested_at)
 {
-    m_is_busy = false;
     const auto update = end == peer::call_outcome::answered &&
                                 answer.kind == peer::frame_kind::table_update
                             ? decode_update(answer.payload)
                             : std::nullopt;
     if (update && m_is_running)
-        m_callbacks.update_received(*update, m_requested_at);
+        m_callbacks.update_received(*update, requested_at);
     if (!update || !update->is_current)
         return try_next_source();
     m_failed_sources = 0;
--- a/src/plantainward/relay/update_follower.hpp
+++ b/src/plantainward/relay/update_follower.hpp
@@ -43,7 +43,8 @@
 private:
     void fetch();
     void schedule_fetch(core::millis delay);
-    void on_answer(peer::call_outcome end, const peer::frame& answer);
+    void on_answer(peer::call_outcome end, const peer::frame& answer,
+                   core::boot_instant requested_at);
     void try_next_source();
 
     update_callbacks m_callbacks;
@@ -55,7 +56,6 @@
     /// Number of sources that failed in a row.
     std::size_t m_failed_sources{0};
     core::boot_instant m_last_service_read{};
-    core::boot_instant m_requested_at{};
 };
 
 } // namespace plantainward::relay
--- a/tests/relay/update_follower_tests.cpp
+++ b/tests/relay/update_follower_tests.cpp
@@ -74,6 +74,10 @@
                 dated_at = requested_at + update.routing_proof->after_request;
                 received_version =
                     std::max(received_version, update.versions.routing);
+                ++received_updates;
+                // The process chooses its source anew when the hosts change.
+                if (update.hosts)
+                    follower->start();
             };
         follower_callbacks.no_current_source = [this] {
             ++service_reads;
@@ -103,6 +107,7 @@
     core::boot_instant proved_at{core::boot_clock::now()};
     core::boot_instant dated_at{};
     int update_lookups{0};
+    int received_updates{0};
     int service_reads{0};
 };
 
@@ -208,3 +213,19 @@
     fixture.run(millis(300));
     LONGS_EQUAL(lookups_before, fixture.update_lookups);
 }
+
+TEST(update_follower, a_follower_that_is_started_in_its_callback_fetches_once)
+{
+    // Guards against a further fetch for each change of the hosts: each of them
+    // was answered with all hosts, and one source that ended failed them all.
+    follower_fixture fixture;
+    fixture.follower->start();
+    for (int change = 0; change < 4; ++change)
+    {
+        fixture.run(millis(300));
+        ++fixture.version;
+    }
+    fixture.run(millis(300));
+    LONGS_EQUAL(5, fixture.received_version);
+    LONGS_EQUAL(5, fixture.received_updates);
+}
