Silent feeds of all hosts are noticed one after the other

A feed whose connection has gone silent without a reset (a relay or a load balancer that has lost it, a store whose answer was lost) looks like one without changes; TCP keep-alive probes are still acknowledged. It ended after 13.2 s. The feeds of a table begin together after each change, so they went silent together, and no host had news for the others: a routing that was acknowledged 4 s after the silence was in force after 9,288 ms, and must be after 3,000. A host that did learn from others read on idle connections, as silent as the feed: each read took its timeout of 1 s, and the feed stayed silent until the next change.

- The feeds of the routing and of the databases end one after the other: feed_wait() spreads them over the live voters, 1.2 s apart at most.
By the time a host counts as undisturbed, some host has a working feed.
- After a call that timed out, the HTTP client closes its idle connections to that server.

Price: none for 10 hosts or more, whose feeds are held for 12 s as before; one call more for each change and table. With 6 hosts 0.11 calls a second on each, with 3 hosts 0.39 (computed). Reads of the routing by one host in turn, as for keys, would cost 1.4 calls a second in the fleet and need no change of the waits; shorter waits of all hosts 0.5 a second on each.

--- a/src/plantainward/entry/entry_host.hpp
+++ b/src/plantainward/entry/entry_host.hpp
@@ -265,6 +265,10 @@
     table_source choose_table_source() const;
     /// Sets whether calls to the table service succeed.
     void set_tables_reachable(bool reachable) { m_reaches_tables = reachable; }
+    /// How long the table service is to hold a feed of this host, by the time
+    /// since the last change of the table.
+    core::millis feed_wait(core::millis since_change,
+                           core::boot_instant now) const;
     /// Versions of the tables that this host has.
     fleet::table_versions versions() const;
     /// Hosts to ask for table updates; those of the own failure domain come
--- a/src/plantainward/entry/entry_host_updates.cpp
+++ b/src/plantainward/entry/entry_host_updates.cpp
@@ -3,6 +3,7 @@
 #include <plantainward/entry/entry_host.hpp>
 
 #include <plantainward/core/digest.hpp>
+#include <plantainward/entry/feed_schedule.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -25,6 +26,16 @@
             m_fleet.voters().version};
 }
 
+core::millis entry_host::feed_wait(core::millis since_change,
+                                   core::boot_instant now) const
+{
+    const auto names = m_fleet.live_voters(now);
+    const auto own =
+        std::lower_bound(names.begin(), names.end(), m_identity.name);
+    return entry::feed_wait(static_cast<std::size_t>(own - names.begin()),
+                            names.size(), since_change);
+}
+
 std::vector<core::address> entry_host::table_sources() const
 {
     std::vector<std::string> names;
--- a/src/plantainward/http/client.cpp
+++ b/src/plantainward/http/client.cpp
@@ -315,6 +315,13 @@
         return call_handle([call] { running_call::abort(call); });
     }
 
+    void close_idle(const core::address& address) override
+    {
+        const std::lock_guard lock(m_mutex);
+        for (const auto& idle : std::exchange(m_idle[address], {}))
+            idle->close();
+    }
+
 private:
     using connection = std::shared_ptr<tcp_client_connection>;
 
@@ -386,6 +393,10 @@
                                    std::move(*retry_message));
                 if (result.outcome == exchange_outcome::answered)
                     keep(pending.address, std::move(transport));
+                // A relay between the hosts may have lost all connections
+                // without a reset.
+                if (result.outcome == exchange_outcome::timed_out)
+                    close_idle(pending.address);
                 pending.handler(std::move(result));
             });
     }
--- a/src/plantainward/http/client.hpp
+++ b/src/plantainward/http/client.hpp
@@ -104,13 +104,19 @@
     /// second attempt after an idle connection that the server had closed, and
     /// the exchange. When it passes, the connection is reset, so that what is
     /// not delivered by then is not delivered later; the call ends as
-    /// `timed_out`, or as `not_sent` when no byte was sent.
+    /// `timed_out`, or as `not_sent` when no byte was sent. After a call that
+    /// timed out the next ones to that server use new connections, since idle
+    /// ones may be as silent.
     ///
     /// The handler is called exactly once, on a thread of the I/O context and
     /// never from within this call or `call_handle::abort`.
     virtual call_handle send(const core::address& address, request message,
                              core::millis timeout,
                              exchange_handler handler) = 0;
+
+    /// Closes the idle connections to a server, so that the next call opens a
+    /// new one.
+    virtual void close_idle(const core::address& address) = 0;
 };
 
 /// Sends one request and blocks until it has ended; for command-line programs.
