--- /dev/null
+++ b/soak/caller.cpp
@@ -0,0 +1,422 @@
+#include "caller.hpp"
+
+#include "statement_text.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace soak
+{
+
+namespace
+{
+
+constexpr std::chrono::seconds open_limit{2};
+constexpr std::chrono::milliseconds answer_limit{3000};
+constexpr unsigned max_attempts = 3;
+constexpr double leave_share = 0.03;
+constexpr double pipelined_share = 0.15;
+constexpr std::array<const char*, 3> value_names{"tenant", "zone", "role"};
+constexpr std::array<const char*, 4> prepared_names{"s1", "s2", "q", "job"};
+
+} // namespace
+
+caller::caller(caller_world& world, std::size_t session, std::string zone)
+    : m_world(world), m_session(session), m_zone(std::move(zone)),
+      m_dice(world.seed, 1000 + session)
+{
+}
+
+task caller::run()
+{
+    ++m_world.running;
+    co_await pause(m_dice.spread(400, 2000));
+    while (!m_world.is_stopping)
+    {
+        const bool is_open = co_await open();
+        if (is_open)
+            co_await serve_session();
+        m_channel.reset();
+        co_await pause(m_dice.spread(100, 500));
+    }
+    --m_world.running;
+}
+
+asio::awaitable<bool> caller::open()
+{
+    ++m_opened;
+    const auto host = m_world.hosts.choose(
+        m_zone, std::hash<std::size_t>{}(m_session * 7 + m_session / 5 +
+                                         (m_dice.chance(0.5) ? 0 : m_opened)));
+    if (!host)
+        co_return false;
+    m_host = *host;
+    m_database = m_world.routes.choose_name(m_dice);
+    const auto* rule = m_world.routes.find(m_database);
+    m_kind = rule == nullptr ? "primary" : rule->kind;
+    m_values.clear();
+    m_unanswered_values.clear();
+    m_shapes.clear();
+    m_outstanding.clear();
+    m_transaction = 0;
+    m_state = 'I';
+    auto& events = m_world.record.events();
+    tcp::socket socket(m_world.io);
+    const auto [error] = co_await socket.async_connect(
+        m_world.hosts.addresses().caller(m_host), use_result);
+    if (error)
+        co_return false;
+    m_channel = std::make_unique<line_channel>(std::move(socket));
+    const auto index = events.openings.size();
+    opening noted;
+    noted.session = m_session;
+    noted.host = m_host;
+    noted.incarnation = m_world.hosts.hosts()[m_host].incarnation;
+    noted.database = m_database;
+    noted.sent = m_world.record.now();
+    events.openings.push_back(std::move(noted));
+    co_await send("START " + m_database + " u" + std::to_string(m_session) +
+                  "\r\n");
+    const auto line = co_await m_channel->read_line(open_limit);
+    if (!line)
+        co_return false;
+    auto& done = events.openings[index];
+    done.answered = m_world.record.now();
+    auto rest = *line;
+    if (take_word(rest) == "READY")
+        co_return true;
+    done.code = take_word(rest);
+    co_return false;
+}
+
+task caller::serve_session()
+{
+    // Some sessions serve one operation; some are idle most of the time.
+    const bool is_short = m_dice.chance(0.25);
+    const double idle_ms = m_dice.chance(0.2) ? 4000 : 450;
+    for (std::size_t left = is_short ? 1 : 5 + m_dice.below(120);
+         left > 0 && !m_world.is_stopping; --left)
+    {
+        co_await pause(m_dice.spread(is_short ? 20 : idle_ms, 8000));
+        if (m_dice.chance(leave_share))
+        {
+            co_await leave();
+            co_return;
+        }
+        auto result = outcome::may_repeat;
+        for (unsigned tries = 0;
+             tries < max_attempts && result == outcome::may_repeat; ++tries)
+        {
+            check_strays();
+            if (!m_channel->is_open())
+            {
+                const bool is_open = co_await open();
+                if (!is_open)
+                    break;
+            }
+            m_attempt = ++m_world.last_attempt;
+            result = co_await attempt();
+            m_transaction = 0;
+            if (m_state != 'I' || !m_outstanding.empty())
+                m_channel->close();
+        }
+        ++(result == outcome::done ? m_world.succeeded : m_world.failed);
+        if (!m_channel->is_open())
+            co_return;
+    }
+    if (m_channel->is_open())
+        co_await send("BYE\r\n");
+}
+
+asio::awaitable<caller::outcome> caller::attempt()
+{
+    if (m_dice.chance(0.2))
+    {
+        const bool goes_on = co_await prepare_session();
+        if (!goes_on)
+        {
+            m_channel->close();
+            co_return outcome::failed;
+        }
+    }
+    const double share = m_kind == "primary"             ? 0.4
+                         : m_kind == "bounded_staleness" ? 0.1
+                                                         : 0.12;
+    if (m_dice.chance(share))
+        co_return co_await transaction();
+    co_return co_await single();
+}
+
+asio::awaitable<bool> caller::prepare_session()
+{
+    std::string text = set_statement();
+    if (m_dice.chance(0.5))
+        text = prepare_statement();
+    else if (!m_shapes.empty() && m_dice.chance(0.2))
+        text = "DEALLOCATE " + m_shapes.begin()->first;
+    const bool is_answered = co_await ask(text);
+    co_return is_answered&& m_code.empty();
+}
+
+asio::awaitable<caller::outcome> caller::single()
+{
+    const auto text = statement();
+    if (m_dice.chance(pipelined_share))
+    {
+        // A value and the statement in one segment.
+        auto lines = note(set_statement());
+        lines += note(text);
+        const bool is_sent = co_await send(std::move(lines));
+        const bool is_answered = is_sent && co_await read_answers();
+        if (is_answered && m_code.empty())
+            co_return outcome::done;
+        m_channel->close();
+        co_return outcome::failed;
+    }
+    const bool is_answered = co_await ask(text);
+    if (is_answered && m_code.empty())
+        co_return outcome::done;
+    co_return outcome_of_failure(!text.starts_with("READ"));
+}
+
+asio::awaitable<caller::outcome> caller::transaction()
+{
+    const bool reads_only =
+        m_kind == "bounded_staleness" || m_dice.chance(0.25);
+    m_transaction = ++m_world.last_transaction;
+    const std::string begin = reads_only ? "BEGIN READ" : "BEGIN";
+    bool is_answered = co_await ask(begin);
+    if (!is_answered || !m_code.empty())
+        co_return outcome_of_failure(false);
+    for (auto left = 1 + m_dice.below(12); left > 0; --left)
+    {
+        if (m_dice.chance(0.3))
+            co_await pause(m_dice.spread(60, 1200));
+        if (m_dice.chance(leave_share / 2))
+        {
+            co_await leave();
+            co_return outcome::failed;
+        }
+        auto text = statement();
+        if (m_dice.chance(0.08))
+            text = m_dice.chance(0.5) ? set_statement() : prepare_statement();
+        if (reads_only &&
+            (text.starts_with("WRITE") || text.starts_with("EXECUTE")))
+            text = "READ " + m_dice.hex(3);
+        is_answered = co_await ask(text);
+        if (!is_answered)
+            co_return outcome_of_failure(false);
+        if (m_code.empty())
+            continue;
+        const auto code = m_code;
+        if (m_state != 'I')
+            co_await ask("ROLLBACK");
+        m_code = code;
+        co_return outcome_of_failure(false);
+    }
+    is_answered = co_await ask(m_dice.chance(0.1) ? "ROLLBACK" : "COMMIT");
+    if (is_answered && m_code.empty())
+        co_return outcome::done;
+    co_return outcome_of_failure(true);
+}
+
+caller::outcome caller::outcome_of_failure(bool wrote) const
+{
+    constexpr std::array<const char*, 6> promises{
+        "BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "TOOMANY"};
+    const bool is_promise =
+        std::find(promises.begin(), promises.end(), m_code) != promises.end();
+    return is_promise || !wrote ? outcome::may_repeat : outcome::failed;
+}
+
+task caller::leave()
+{
+    m_attempt = ++m_world.last_attempt;
+    const auto line = note(statement(), m_dice.chance(0.5));
+    auto& left = at(m_outstanding.back());
+    const bool is_whole = left.is_whole;
+    m_world.record.line("session " + std::to_string(m_session) + " leaves at " +
+                        left.id);
+    co_await send(is_whole ? line
+                           : line.substr(0, m_dice.below(line.size() - 1)));
+    if (m_dice.chance(0.3))
+        co_await pause(m_dice.spread(10, 60));
+    switch (m_dice.below(3))
+    {
+    case 0:
+        m_channel->reset();
+        break;
+    case 1:
+        m_channel->half_close();
+        co_await pause(std::chrono::milliseconds(100));
+        m_channel->close();
+        break;
+    default:
+        m_channel->close();
+    }
+}
+
+std::string caller::note(const std::string& text, bool is_whole)
+{
+    request noted;
+    noted.id = m_dice.hex(16);
+    noted.text = text;
+    noted.session = m_session;
+    noted.host = m_host;
+    noted.incarnation = m_world.hosts.hosts()[m_host].incarnation;
+    noted.database = m_database;
+    noted.transaction = m_transaction;
+    noted.attempt = m_attempt;
+    noted.is_whole = is_whole;
+    noted.values = m_values;
+    noted.unanswered_values = m_unanswered_values;
+    auto rest = text;
+    const auto word = take_word(rest);
+    if (word == "EXECUTE")
+        noted.shape = m_shapes[take_word(rest)];
+    if (word == "SET")
+    {
+        const auto name = take_word(rest);
+        m_unanswered_values[name] = rest;
+    }
+    noted.sent = m_world.record.now();
+    auto& requests = m_world.record.events().requests;
+    m_outstanding.push_back(requests.size());
+    auto line = "QUERY " + noted.id + " " + text + "\r\n";
+    m_world.record.line("session " + std::to_string(m_session) + " at " +
+                        m_world.hosts.hosts()[m_host].name + " to " +
+                        m_database + " sends " + noted.id + " " + text +
+                        (is_whole ? "" : " (in part)") + ", transaction " +
+                        std::to_string(m_transaction));
+    requests.push_back(std::move(noted));
+    return line;
+}
+
+asio::awaitable<bool> caller::send(std::string bytes)
+{
+    while (bytes.size() > 1 && m_dice.chance(0.1))
+    {
+        const auto size = 1 + m_dice.below(bytes.size() - 1);
+        const bool is_sent = co_await m_channel->write(bytes.substr(0, size));
+        if (!is_sent)
+            co_return false;
+        bytes.erase(0, size);
+        co_await pause(m_dice.spread(2, 20));
+    }
+    co_return co_await m_channel->write(std::move(bytes));
+}
+
+asio::awaitable<bool> caller::ask(const std::string& text)
+{
+    auto line = note(text);
+    const bool is_sent = co_await send(std::move(line));
+    co_return is_sent&& co_await read_answers();
+}
+
+asio::awaitable<bool> caller::read_answers()
+{
+    m_code.clear();
+    while (!m_outstanding.empty())
+    {
+        const auto index = m_outstanding.front();
+        std::vector<std::string> rows;
+        std::string signature;
+        std::string code;
+        for (;;)
+        {
+            const auto line = co_await m_channel->read_line(answer_limit);
+            if (!line)
+            {
+                m_world.record.line("session " + std::to_string(m_session) +
+                                    " gets no answer to " + at(index).id);
+                m_channel->close();
+                co_return false;
+            }
+            auto rest = *line;
+            const auto word = take_word(rest);
+            if (word == "ROW")
+                rows.push_back(rest);
+            else if (word == "DONE")
+                signature = rest;
+            else if (word == "ERROR")
+                code = take_word(rest);
+            else if (word == "READY")
+            {
+                m_state = rest.empty() ? '?' : rest.front();
+                break;
+            }
+        }
+        m_outstanding.erase(m_outstanding.begin());
+        auto& asked = at(index);
+        asked.answered = m_world.record.now();
+        asked.rows = std::move(rows);
+        asked.signature = std::move(signature);
+        asked.code = std::move(code);
+        take_answer(asked);
+    }
+    co_return true;
+}
+
+void caller::take_answer(request& asked)
+{
+    m_world.record.line("session " + std::to_string(m_session) + " gets for " +
+                        asked.id + ": " +
+                        (asked.code.empty() ? "DONE " + asked.signature
+                                            : "ERROR " + asked.code) +
+                        ", state " + m_state);
+    if (m_code.empty())
+        m_code = asked.code;
+    auto rest = asked.text;
+    const auto word = take_word(rest);
+    const auto name = take_word(rest);
+    if (word == "SET")
+        m_unanswered_values.erase(name);
+    if (!asked.code.empty())
+        return;
+    if (word == "SET")
+        m_values[name] = rest;
+    else if (word == "PREPARE")
+        m_shapes[name] = rest;
+    else if (word == "DEALLOCATE")
+        m_shapes.erase(name);
+}
+
+void caller::check_strays()
+{
+    while (auto line = m_channel->take_arrived_line())
+        m_world.record.events().stray_messages.push_back(
+            {m_session, m_world.record.now(), *line});
+}
+
+std::string caller::set_statement()
+{
+    return std::string("SET ") + value_names[m_dice.below(3)] + " v" +
+           std::to_string(m_dice.below(6));
+}
+
+std::string caller::prepare_statement()
+{
+    return std::string("PREPARE ") + prepared_names[m_dice.below(4)] +
+           (m_kind != "bounded_staleness" && m_dice.chance(0.2) ? " WRITE "
+                                                                : " READ ") +
+           "q" + m_dice.hex(2);
+}
+
+std::string caller::statement()
+{
+    const auto item = m_dice.hex(3);
+    if (!m_shapes.empty() && m_dice.chance(0.3))
+    {
+        auto chosen = m_shapes.begin();
+        std::advance(chosen, m_dice.below(m_shapes.size()));
+        return "EXECUTE " + chosen->first + " " + item +
+               (chosen->second.starts_with("WRITE") ? " " + m_dice.hex(8) : "");
+    }
+    const double writes = m_kind == "primary"             ? 0.2
+                          : m_kind == "bounded_staleness" ? 0.0
+                                                          : 0.12;
+    return m_dice.chance(writes) ? "WRITE " + item + " " + m_dice.hex(8)
+                                 : "READ " + item;
+}
+
+} // namespace soak
