--- a/soak/async.hpp
+++ b/soak/async.hpp
@@ -22,6 +22,8 @@
 /// Completion token: the coroutine goes on with the error and the result.
 constexpr auto use_result = asio::as_tuple(asio::use_awaitable);
 
+/// GCC 12 copies temporaries of an awaited call byte by byte, so coroutines
+/// take texts and containers by reference to named objects.
 using task = asio::awaitable<void>;
 
 inline task pause(std::chrono::microseconds time)
--- a/soak/caller.cpp
+++ b/soak/caller.cpp
@@ -75,8 +75,11 @@
     noted.database = m_database;
     noted.sent = m_world.record.now();
     events.openings.push_back(std::move(noted));
-    co_await send("START " + m_database + " u" + std::to_string(m_session) +
-                  "\r\n");
+    const auto start = "START " + m_database + " u" +
+                       std::to_string(m_session) +
+                       "
+                       ";
+                       co_await send(start);
     const auto line = co_await m_channel->read_line(open_limit);
     if (!line)
         co_return false;
@@ -124,8 +127,9 @@
         if (!m_channel->is_open())
             co_return;
     }
+    const std::string bye = "BYE\r\n";
     if (m_channel->is_open())
-        co_await send("BYE\r\n");
+        co_await send(bye);
 }
 
 asio::awaitable<caller::outcome> caller::attempt()
@@ -166,7 +170,7 @@
         // A value and the statement in one segment.
         auto lines = note(set_statement());
         lines += note(text);
-        const bool is_sent = co_await send(std::move(lines));
+        const bool is_sent = co_await send(lines);
         const bool is_answered = is_sent && co_await read_answers();
         if (is_answered && m_code.empty())
             co_return outcome::done;
@@ -209,12 +213,14 @@
         if (m_code.empty())
             continue;
         const auto code = m_code;
+        const std::string rollback = "ROLLBACK";
         if (m_state != 'I')
-            co_await ask("ROLLBACK");
+            co_await ask(rollback);
         m_code = code;
         co_return outcome_of_failure(false);
     }
-    is_answered = co_await ask(m_dice.chance(0.1) ? "ROLLBACK" : "COMMIT");
+    const std::string end = m_dice.chance(0.1) ? "ROLLBACK" : "COMMIT";
+    is_answered = co_await ask(end);
     if (is_answered && m_code.empty())
         co_return outcome::done;
     co_return outcome_of_failure(true);
@@ -232,13 +238,14 @@
 task caller::leave()
 {
     m_attempt = ++m_world.last_attempt;
-    const auto line = note(statement(), m_dice.chance(0.5));
+    auto line = note(statement(), m_dice.chance(0.5));
     auto& left = at(m_outstanding.back());
     const bool is_whole = left.is_whole;
     m_world.record.line("session " + std::to_string(m_session) + " leaves at " +
                         left.id);
-    co_await send(is_whole ? line
-                           : line.substr(0, m_dice.below(line.size() - 1)));
+    if (!is_whole)
+        line.resize(m_dice.below(line.size() - 1));
+    co_await send(line);
     if (m_dice.chance(0.3))
         co_await pause(m_dice.spread(10, 60));
     switch (m_dice.below(3))
@@ -292,24 +299,29 @@
     return line;
 }
 
-asio::awaitable<bool> caller::send(std::string bytes)
+asio::awaitable<bool> caller::send(const std::string& bytes)
 {
-    while (bytes.size() > 1 && m_dice.chance(0.1))
+    std::string part = bytes;
+    std::string rest;
+    while (part.size() > 1 && m_dice.chance(0.1))
     {
-        const auto size = 1 + m_dice.below(bytes.size() - 1);
-        const bool is_sent = co_await m_channel->write(bytes.substr(0, size));
+        const auto size = 1 + m_dice.below(part.size() - 1);
+        rest = part.substr(size);
+        part.resize(size);
+        const bool is_sent = co_await m_channel->write(part);
         if (!is_sent)
             co_return false;
-        bytes.erase(0, size);
+        part = rest;
         co_await pause(m_dice.spread(2, 20));
     }
-    co_return co_await m_channel->write(std::move(bytes));
+    const bool is_sent = co_await m_channel->write(part);
+    co_return is_sent;
 }
 
 asio::awaitable<bool> caller::ask(const std::string& text)
 {
     auto line = note(text);
-    const bool is_sent = co_await send(std::move(line));
+    const bool is_sent = co_await send(line);
     co_return is_sent&& co_await read_answers();
 }
 
--- a/soak/caller.hpp
+++ b/soak/caller.hpp
@@ -61,7 +61,7 @@
     /// Notes a request and returns its line.
     std::string note(const std::string& text, bool is_whole = true);
     /// Writes bytes, split at random places or at once.
-    asio::awaitable<bool> send(std::string bytes);
+    asio::awaitable<bool> send(const std::string& bytes);
     /// Reads the answers to all requests that are outstanding; false if the
     /// connection has ended or the time is over.
     asio::awaitable<bool> read_answers();
--- a/soak/database.cpp
+++ b/soak/database.cpp
@@ -153,13 +153,13 @@
             co_await peer->wakeup.async_wait(use_result);
             continue;
         }
-        auto line = std::move(peer->lines.front());
+        const auto line = std::move(peer->lines.front());
         peer->lines.pop_front();
         bool goes_on = false;
         if (peer->has_started)
-            goes_on = co_await query(peer, std::move(line.text), line.at);
+            goes_on = co_await query(peer, line.text, line.at);
         else
-            goes_on = co_await open(peer, std::move(line.text));
+            goes_on = co_await open(peer, line.text);
         if (!goes_on)
             break;
     }
--- a/soak/database.hpp
+++ b/soak/database.hpp
@@ -113,8 +113,8 @@
     task read(session_pointer peer);
     task serve(session_pointer peer);
     task replicate(unsigned start_number);
-    asio::awaitable<bool> open(session_pointer peer, std::string line);
-    asio::awaitable<bool> query(session_pointer peer, std::string line,
+    asio::awaitable<bool> open(session_pointer peer, const std::string& text);
+    asio::awaitable<bool> query(session_pointer peer, const std::string& text,
                                 instant arrived);
     asio::awaitable<answer> execute(session_pointer peer, std::size_t index);
     asio::awaitable<answer> work(session_pointer peer, std::size_t index);
--- a/soak/database_statements.cpp
+++ b/soak/database_statements.cpp
@@ -6,27 +6,33 @@
 namespace soak
 {
 
-asio::awaitable<bool> database::open(session_pointer peer, std::string line)
+asio::awaitable<bool> database::open(session_pointer peer,
+                                     const std::string& text)
 {
+    auto line = text;
+    const std::string id_line = " " + m_id +
+                                "
+                                ";
+                                std::string refusal;
     const auto word = take_word(line);
     const auto service = take_word(line);
     peer->sender = take_word(line);
     if (word != "START")
         co_return false;
     if (service != m_group.service || (!line.empty() && line != m_id))
+        refusal = "ERROR MISROUTED";
+    else if (m_sessions.size() > m_world.options.max_connections)
+        refusal = "ERROR TOOMANY";
+    else
     {
-        co_await peer->channel.write("ERROR MISROUTED " + m_id + "\r\n");
-        co_return false;
+        const bool has_slot = co_await acquire_slot();
+        if (!has_slot)
+            refusal = "ERROR BUSY";
     }
-    if (m_sessions.size() > m_world.options.max_connections)
-    {
-        co_await peer->channel.write("ERROR TOOMANY " + m_id + "\r\n");
-        co_return false;
-    }
-    const bool has_slot = co_await acquire_slot();
-    if (!has_slot)
+    if (!refusal.empty())
     {
-        co_await peer->channel.write("ERROR BUSY " + m_id + "\r\n");
+        refusal += id_line;
+        co_await peer->channel.write(refusal);
         co_return false;
     }
     co_await pause(m_dice.spread(m_world.options.handshake_ms, 40));
@@ -34,12 +40,15 @@
     peer->has_started = true;
     if (peer->is_muted)
         co_return true;
-    co_return co_await peer->channel.write("READY I " + position() + "\r\n");
+    const auto ready = "READY I " + position() + "\r\n";
+    const bool is_written = co_await peer->channel.write(ready);
+    co_return is_written;
 }
 
-asio::awaitable<bool> database::query(session_pointer peer, std::string line,
-                                      instant arrived)
+asio::awaitable<bool> database::query(session_pointer peer,
+                                      const std::string& text, instant arrived)
 {
+    auto line = text;
     if (take_word(line) != "QUERY")
         co_return false;
     auto& record = m_world.record;
@@ -109,11 +118,12 @@
     }
     if (m_dice.chance(faults.cut))
     {
-        co_await peer->channel.write(
-            lines.substr(0, m_dice.below(lines.size())));
+        lines.resize(m_dice.below(lines.size()));
+        co_await peer->channel.write(lines);
         co_return false;
     }
-    co_return co_await peer->channel.write(std::move(lines));
+    const bool is_written = co_await peer->channel.write(lines);
+    co_return is_written;
 }
 
 asio::awaitable<database::answer> database::execute(session_pointer peer,
--- a/soak/line_channel.cpp
+++ b/soak/line_channel.cpp
@@ -49,7 +49,7 @@
     co_return line;
 }
 
-asio::awaitable<bool> line_channel::write(std::string bytes)
+asio::awaitable<bool> line_channel::write(const std::string& bytes)
 {
     if (!m_socket.is_open())
         co_return false;
--- a/soak/line_channel.hpp
+++ b/soak/line_channel.hpp
@@ -19,7 +19,8 @@
     /// The same; closes the connection when no line comes in time.
     asio::awaitable<std::optional<std::string>>
     read_line(std::chrono::microseconds limit);
-    asio::awaitable<bool> write(std::string bytes);
+    /// The bytes must outlive the call.
+    asio::awaitable<bool> write(const std::string& bytes);
 
     /// A line that has arrived by now, if there is one.
     std::optional<std::string> take_arrived_line();
--- a/soak/store.cpp
+++ b/soak/store.cpp
@@ -176,7 +176,7 @@
 {
     const std::string target(message.target());
     if (target.starts_with("/rows-feed"))
-        co_return co_await feed(query_of(target));
+        co_return co_await feed(target);
     co_await pause(target == "/rows-tx" ? transaction_time : answer_time);
     if (target == "/rows-tx")
         co_return transact(message.body());
@@ -268,8 +268,9 @@
                                          {"now_ms", m_record.now() / 1000}})};
 }
 
-asio::awaitable<store::answer> store::feed(query_fields query)
+asio::awaitable<store::answer> store::feed(const std::string& target)
 {
+    auto query = query_of(target);
     const auto table = query["table"];
     const auto after = number_of(query["after"]);
     const auto deadline =
--- a/soak/store.hpp
+++ b/soak/store.hpp
@@ -93,7 +93,7 @@
     answer transact(const std::string& body);
     answer get(query_fields& query) const;
     answer promote(const request_message& message);
-    asio::awaitable<answer> feed(query_fields query);
+    asio::awaitable<answer> feed(const std::string& target);
     answer changes(const std::string& table, std::uint64_t after) const;
     void change(const std::string& table, const std::string& key, row changed);
 
