--- a/soak/caller.cpp
+++ b/soak/caller.cpp
@@ -75,11 +75,9 @@
     noted.database = m_database;
     noted.sent = m_world.record.now();
     events.openings.push_back(std::move(noted));
-    const auto start = "START " + m_database + " u" +
-                       std::to_string(m_session) +
-                       "
-                       ";
-                       co_await send(start);
+    const auto start =
+        "START " + m_database + " u" + std::to_string(m_session) + "\r\n";
+    co_await send(start);
     const auto line = co_await m_channel->read_line(open_limit);
     if (!line)
         co_return false;
--- a/soak/database_statements.cpp
+++ b/soak/database_statements.cpp
@@ -10,10 +10,8 @@
                                      const std::string& text)
 {
     auto line = text;
-    const std::string id_line = " " + m_id +
-                                "
-                                ";
-                                std::string refusal;
+    const std::string id_line = " " + m_id + "\r\n";
+    std::string refusal;
     const auto word = take_word(line);
     const auto service = take_word(line);
     peer->sender = take_word(line);
