--- a/soak/caller.cpp
+++ b/soak/caller.cpp
@@ -21,9 +21,9 @@
 
 } // namespace
 
-caller::caller(caller_world& world, std::size_t session, std::string zone)
-    : m_world(world), m_session(session), m_zone(std::move(zone)),
-      m_dice(world.seed, 1000 + session)
+caller::caller(caller_world& world, std::size_t number, std::string zone)
+    : m_world(world), m_number(number), m_zone(std::move(zone)),
+      m_dice(world.seed, 1000 + number)
 {
 }
 
@@ -45,12 +45,14 @@
 asio::awaitable<bool> caller::open()
 {
     ++m_opened;
-    const auto host = m_world.hosts.choose(
-        m_zone, std::hash<std::size_t>{}(m_session * 7 + m_session / 5 +
-                                         (m_dice.chance(0.5) ? 0 : m_opened)));
+    // Retries reach other hosts.
+    const auto hash =
+        m_number * 7 + m_number / 5 + (m_dice.chance(0.5) ? 0 : m_opened);
+    const auto host = m_world.hosts.choose(m_zone, hash);
     if (!host)
         co_return false;
     m_host = *host;
+    m_session = ++m_world.last_session;
     m_database = m_world.routes.choose_name(m_dice);
     const auto* rule = m_world.routes.find(m_database);
     m_kind = rule == nullptr ? "primary" : rule->kind;
@@ -76,7 +78,7 @@
     noted.sent = m_world.record.now();
     events.openings.push_back(std::move(noted));
     const auto start =
-        "START " + m_database + " u" + std::to_string(m_session) + "\r\n";
+        "START " + m_database + " u" + std::to_string(m_number) + "\r\n";
     co_await send(start);
     const auto line = co_await m_channel->read_line(open_limit);
     if (!line)
--- a/soak/caller.hpp
+++ b/soak/caller.hpp
@@ -24,6 +24,7 @@
     std::uint64_t seed{0};
     std::uint64_t last_transaction{0};
     std::uint64_t last_attempt{0};
+    std::size_t last_session{0};
     bool is_stopping{false};
     std::size_t running{0};
     std::size_t succeeded{0};
@@ -34,7 +35,7 @@
 class caller
 {
 public:
-    caller(caller_world& world, std::size_t session, std::string zone);
+    caller(caller_world& world, std::size_t number, std::string zone);
 
     /// Runs until the world stops.
     task run();
@@ -78,7 +79,9 @@
     }
 
     caller_world& m_world;
-    std::size_t m_session;
+    std::size_t m_number;
+    /// A session is a connection.
+    std::size_t m_session{0};
     std::string m_zone;
     dice m_dice;
     std::unique_ptr<line_channel> m_channel;
--- a/soak/checker.cpp
+++ b/soak/checker.cpp
@@ -114,7 +114,7 @@
     if (item.after.empty())
         return;
     const auto word = first_word(item.text);
-    if (word == "EXECUTE" && item.shape.starts_with("READ "))
+    if (word == "EXECUTE" && asked.shape.starts_with("READ "))
         report("note: AFTER before an EXECUTE that reads",
                story("the pages name READ and BEGIN", item, &asked), false);
     else if (word != "READ" && word != "BEGIN")
