--- a/soak/fault_plan.cpp
+++ b/soak/fault_plan.cpp
@@ -36,6 +36,7 @@
         {"replace", &fault_plan::replace_host, ms(20000)},
         {"herd", &fault_plan::kill_all, ms(30000)},
         {"crash", &fault_plan::crash, ms(8000)},
+        {"primary", &fault_plan::lose_primary, ms(12000)},
         {"empty", &fault_plan::crash_empty, ms(15000)},
         {"leave", &fault_plan::leave, ms(15000)},
         {"swap", &fault_plan::swap, ms(20000)},
@@ -164,6 +165,17 @@
                               some_time(50, 6000), true);
 }
 
+// Longer than the hosts wait before they have another one promoted.
+task fault_plan::lose_primary()
+{
+    const auto services = m_services.services();
+    const auto& group =
+        m_services.group(services[m_dice.below(services.size())]);
+    const auto primary = group.find(group.leader);
+    if (primary && primary->is_running())
+        co_await m_services.crash(primary, some_time(4000, 9000), true);
+}
+
 task fault_plan::crash_empty()
 {
     const auto running = m_services.running();
--- a/soak/fault_plan.hpp
+++ b/soak/fault_plan.hpp
@@ -56,6 +56,7 @@
     task replace_host();
     task kill_all();
     task crash();
+    task lose_primary();
     task crash_empty();
     task leave();
     task swap();
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -157,6 +157,7 @@
             if (!m_hosts.add(zone_of_host(i), true))
                 return exit_not_run;
         m_hosts.watch();
+        spawn(m_io, [this] { return watch_stalls(); });
         bool is_ready = false;
         spawn(m_io, [&]() -> task {
             is_ready = co_await wait_ready();
@@ -184,6 +185,30 @@
         return path;
     }
 
+    // What this program cannot do in time, the store and the databases don't
+    // do either.
+    task watch_stalls()
+    {
+        constexpr std::chrono::milliseconds tick{20};
+        constexpr instant max_delay = from_ms(150);
+        for (auto last = m_record.now();;)
+        {
+            co_await pause(tick);
+            const auto now = m_record.now();
+            if (now - last > max_delay)
+            {
+                for (const auto host :
+                     {disruption::store, disruption::all_hosts})
+                    m_record.events().disruptions.push_back(
+                        {host, "stall", last, now});
+                m_record.events().notes.emplace_back(
+                    last,
+                    "stall of " + std::to_string((now - last) / 1000) + " ms");
+            }
+            last = now;
+        }
+    }
+
     asio::awaitable<bool> wait_ready()
     {
         const auto limit =
@@ -223,7 +248,7 @@
                   << m_callers->succeeded << " operations served, "
                   << m_callers->failed << " not, "
                   << events.configurations.size() << " configurations, "
-                  << events.notes.size() << " own ends\n";
+                  << events.notes.size() << " own ends and stalls\n";
         for (const auto& [at, text] : events.notes)
             std::cout << "note: " << at / 1000 << " ms " << text << '\n';
         int code = exit_held;
