--- a/soak/caller.hpp
+++ b/soak/caller.hpp
@@ -54,6 +54,7 @@
     asio::awaitable<outcome> attempt();
     asio::awaitable<outcome> single();
     asio::awaitable<outcome> transaction();
+    asio::awaitable<outcome> transaction_at_once();
     /// Sends SET, PREPARE or DEALLOCATE; false: the session must end.
     asio::awaitable<bool> prepare_session();
     /// Leaves in the middle of a line or while an answer is outstanding.
@@ -70,6 +71,7 @@
     void take_answer(request& asked);
     void check_strays();
     std::string statement();
+    std::string data();
     std::string set_statement();
     std::string prepare_statement();
     outcome outcome_of_failure(bool wrote) const;
--- a/soak/database_statements.cpp
+++ b/soak/database_statements.cpp
@@ -258,8 +258,11 @@
     release_slot();
     if (word == "STATUS")
         co_return status();
-    // What a crash or a closed connection interrupts has no effect.
-    if (peer->is_ended || start_number != m_start_number || !m_is_running)
+    // What a crash interrupts has no effect. A closed connection rolls back
+    // its transaction; a single write that has begun is completed.
+    const bool is_single = run_at(index).transaction == 0;
+    if (start_number != m_start_number || !m_is_running ||
+        (peer->is_ended && !is_single))
         co_return answer{"FAILED"};
     if (needs_lead && !m_is_primary)
         co_return answer{"READONLY"};
