--- a/soak/fleet.cpp
+++ b/soak/fleet.cpp
@@ -131,7 +131,10 @@
 {
     auto& item = m_hosts[index];
     const auto base = m_folder + "/" + item.name;
-    const auto settings = base + ".json";
+    // A file that is truncated and written again may be flushed at its close,
+    // which can block for seconds; hence a file for each start.
+    const auto settings =
+        base + "-" + std::to_string(item.incarnation + 1) + ".json";
     std::ofstream(settings) << settings_of(index);
     item.is_first_start = false;
     const auto log = base + ".log";
