--- a/soak/checker.cpp
+++ b/soak/checker.cpp
@@ -83,10 +83,19 @@
                 std::find(connections.begin(), connections.end(),
                           item->connection) == connections.end())
                 connections.push_back(item->connection);
-        if (connections.size() > 1)
-            report("PINNED (first statement ran twice)",
-                   story("the first statement of a transaction ran on several "
-                         "connections",
+        if (connections.size() < 2)
+            continue;
+        report("PINNED (first statement ran twice)",
+               story("the first statement of a transaction ran on several "
+                     "connections",
+                     *runs->second.back(), first));
+        const auto end =
+            m_history.transaction_ends.find(runs->second.front()->transaction);
+        if (end == m_history.transaction_ends.end() ||
+            end->second > runs->second.back()->arrived)
+            report("PINNED (first statement ran twice, both open)",
+                   story("its first transaction was open when the second copy "
+                         "arrived",
                          *runs->second.back(), first));
     }
 }
--- a/soak/database.cpp
+++ b/soak/database.cpp
@@ -74,6 +74,7 @@
     for (const auto& peer : m_sessions)
     {
         peer->is_muted = true;
+        peer->is_unreachable = true;
         spawn(m_world.io, [self = shared_from_this(), peer]() -> task {
             co_await pause(unreachable_time);
             self->end_session(*peer);
@@ -138,7 +139,7 @@
         peer->wakeup.cancel();
     }
     // Nobody learns of the end of a connection whose path is dead.
-    if (!peer->is_muted)
+    if (!peer->is_unreachable)
         end_session(*peer);
 }
 
@@ -181,6 +182,9 @@
 
 void database::roll_back(session& peer)
 {
+    if (peer.transaction != 0)
+        m_world.record.events().transaction_ends[peer.transaction] =
+            m_world.record.now();
     peer.transaction = 0;
     peer.has_failed = false;
     peer.is_read_only = false;
--- a/soak/database_session.hpp
+++ b/soak/database_session.hpp
@@ -28,8 +28,10 @@
     std::string sender;
     bool has_started{false};
     bool is_ended{false};
-    /// Silent: nothing is read or answered.
+    /// Nothing is answered any more.
     bool is_muted{false};
+    /// The path is dead: the database doesn't learn that the other end closes.
+    bool is_unreachable{false};
 
     /// Number of the open transaction; 0: none.
     std::uint64_t transaction{0};
--- a/soak/database_statements.cpp
+++ b/soak/database_statements.cpp
@@ -102,10 +102,10 @@
     const auto& faults = m_world.faults;
     if (m_dice.chance(faults.lost))
     {
+        // The connection delivers nothing further.
         record.line(m_id + ": this answer is lost");
         peer->is_muted = true;
-        co_await pause(std::chrono::seconds(3));
-        co_return false;
+        co_return true;
     }
     if (m_dice.chance(faults.closed))
         co_return false;
--- a/soak/history.hpp
+++ b/soak/history.hpp
@@ -156,6 +156,8 @@
     std::vector<configuration> configurations;
     std::vector<disruption> disruptions;
     std::vector<stray_message> stray_messages;
+    /// End of each transaction of a database's connection.
+    std::map<std::uint64_t, instant> transaction_ends;
     /// Name of each host, as its START says it to a database.
     std::vector<std::string> host_names;
     /// Other events, for the stories.
--- a/tests/soak/checker_tests.cpp
+++ b/tests/soak/checker_tests.cpp
@@ -254,6 +254,11 @@
     LONGS_EQUAL(1,
                 built.count("PINNED (after a first statement that ran twice)"));
     LONGS_EQUAL(0, built.count("PINNED"));
+    const std::string both_open =
+        "PINNED (first statement ran twice, both open)";
+    LONGS_EQUAL(1, built.count(both_open));
+    built.events().transaction_ends[9] = from_ms(130);
+    LONGS_EQUAL(0, built.count(both_open));
 }
 
 TEST(soak_checker, an_answer_without_a_run_breaks_mixed)
