A host that the store does not answer gets the routing of a peer

Callers saw: CONFIG. A route that had moved was served by the old service, and one that had been added was refused, for as long as the store did not answer a host, although other hosts had the new routing and told so in each heartbeat.

Cause: all hosts of a small fleet follow the store themselves. One that is behind only tries to read the store, each 500 ms. In the record of the users two hosts lost the table of hosts at the same time as others ran late statements: the mark of a store that does not answer.

Change: after a second behind (one read of the store has had its time) the host fetches the routing from the host with the newest one, by the message that hosts which don't follow the store use already. Only the routing: it has a version of its own that never goes back.

Why it works: the bound is 3 s; the heartbeat takes 0.3 s, the wait 1 s and the answer a round trip. No store call is added.

--- a/src/plantainward/entry/entry_host.hpp
+++ b/src/plantainward/entry/entry_host.hpp
@@ -48,6 +48,13 @@
 {
 };
 
+/// Fetches the routing from a peer that has a newer one, since the table
+/// service has not answered.
+struct fetch_routing_action
+{
+    core::address peer;
+};
+
 /// Reads the changes of the table of routings without waiting for one; the end
 /// is passed to `entry_host::on_routing_read` as a probe.
 struct probe_routing_action
@@ -109,13 +116,12 @@
     std::string member;
 };
 
-using control_action =
-    std::variant<heartbeat_action, read_records_action, read_members_action,
-                 read_routing_action, probe_routing_action,
-                 read_upstreams_action, write_record_action,
-                 write_voters_action, request_status_action,
-                 demote_upstream_action, promote_upstream_action,
-                 abort_promotion_action, remove_member_action>;
+using control_action = std::variant<
+    heartbeat_action, read_records_action, read_members_action,
+    read_routing_action, fetch_routing_action, probe_routing_action,
+    read_upstreams_action, write_record_action, write_voters_action,
+    request_status_action, demote_upstream_action, promote_upstream_action,
+    abort_promotion_action, remove_member_action>;
 
 /// What the process has to do after one event.
 struct entry_actions
@@ -461,6 +467,8 @@
     std::uint64_t m_upstreams_version{0};
     /// Newest versions that any peer's heartbeat has shown.
     std::uint64_t m_peer_routing_version{0};
+    /// The host that last reported this version.
+    std::string m_newest_routing_host;
     std::uint64_t m_peer_upstreams_version{0};
     /// Newest version of a peer when the list of databases was last requested,
     /// and the instant of the request: a list read since then includes it.
--- a/src/plantainward/entry/entry_host_fleet.cpp
+++ b/src/plantainward/entry/entry_host_fleet.cpp
@@ -65,6 +65,8 @@
                                       core::boot_instant now,
                                       entry_actions& out)
 {
+    if (heartbeat.routing_version >= m_peer_routing_version)
+        m_newest_routing_host = heartbeat.host;
     // The newest versions count: a heartbeat of a peer that is as far behind
     // does not show that this host is up to date.
     m_peer_routing_version =
@@ -97,6 +99,11 @@
           {"behind_ms", std::to_string(core::to_ms(now - *m_behind_since))}}});
     if (routing_behind)
         out.control.emplace_back(read_routing_action{});
+    // One read of the table service has had time to succeed.
+    const auto source = address_of(m_newest_routing_host);
+    if (routing_behind && source &&
+        now - *m_behind_since >= feed_timeout + table_read_interval)
+        out.control.emplace_back(fetch_routing_action{*source});
     if (!upstreams_behind)
         return;
     m_requested_upstreams_version = m_peer_upstreams_version;
--- a/src/plantainward/fleet/table_update.hpp
+++ b/src/plantainward/fleet/table_update.hpp
@@ -5,6 +5,7 @@
 #include <plantainward/routes/routing.hpp>
 
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <vector>
 
@@ -27,6 +28,14 @@
         return routing > other.routing || upstreams > other.upstreams ||
                members > other.members || voters > other.voters;
     }
+
+    /// These versions with all tables but the routing as new as any: a request
+    /// with them is answered with the routing alone.
+    table_versions for_routing_only() const
+    {
+        constexpr auto newest = std::numeric_limits<std::uint64_t>::max();
+        return {routing, newest, newest, newest};
+    }
 };
 
 /// A proof that the routing of an update is current, as sent to another host.
--- a/src/plantainward/relay/update_follower.cpp
+++ b/src/plantainward/relay/update_follower.cpp
@@ -19,6 +19,9 @@
 constexpr core::millis silence_timeout{1000};
 constexpr core::millis sweep_interval{250};
 
+// A host that has a newer routing answers at once.
+constexpr core::millis routing_fetch_timeout{1000};
+
 // Changes within this interval come in one answer.
 constexpr core::millis batch_interval{100};
 
@@ -95,6 +98,23 @@
     schedule_fetch(batch_interval);
 }
 
+void update_follower::fetch_routing(
+    const core::address& source,
+    std::function<void(const fleet::table_update&)> handler)
+{
+    m_client.call(source, peer::frame_kind::fetch_table_update,
+                  encode(m_callbacks.known_versions().for_routing_only()),
+                  routing_fetch_timeout,
+                  [handler = std::move(handler)](peer::call_outcome end,
+                                                 const peer::frame& answer) {
+                      if (end != peer::call_outcome::answered ||
+                          answer.kind != peer::frame_kind::table_update)
+                          return;
+                      if (const auto update = decode_update(answer.payload))
+                          handler(*update);
+                  });
+}
+
 void update_follower::try_next_source()
 {
     const auto now = core::boot_clock::now();
--- a/src/plantainward/relay/update_follower.hpp
+++ b/src/plantainward/relay/update_follower.hpp
@@ -40,6 +40,11 @@
     /// Stops; the answer to a fetch that is under way is discarded.
     void stop() { m_is_running = false; }
 
+    /// Fetches a newer routing from one host, whether this follower runs or
+    /// not. The handler is not called when there is no answer in time.
+    void fetch_routing(const core::address& source,
+                       std::function<void(const fleet::table_update&)> handler);
+
 private:
     void fetch();
     void schedule_fetch(core::millis delay);
--- a/tests/entry/identity_fleet_tests.cpp
+++ b/tests/entry/identity_fleet_tests.cpp
@@ -123,6 +123,26 @@
     LONGS_EQUAL(0, world.history().routing_probes);
 }
 
+// Guards against a host that used an old routing for as long as the table
+// service did not answer it, although its peers had the new one.
+TEST(identity_fleet,
+     a_host_without_the_table_service_gets_the_routing_of_a_peer)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed)
+    {
+        fleet_world world(15, seed, 60, 3, entry::entry_options{});
+        world.set_keys(keys(0, 1));
+        world.run_for(millis(5000));
+        world.cut_store("host-0");
+        world.cut_store("host-3");
+        world.set_keys(keys(1, 1));
+        world.run_for(millis(2500));
+        for (const char* host : {"host-0", "host-3"})
+            LONGS_EQUAL(world.host("host-1").pooler().routing().version,
+                        world.host(host).pooler().routing().version);
+    }
+}
+
 // A host that is cut off keeps its old routing.
 TEST(identity_fleet, without_the_limit_a_host_that_is_cut_off_uses_old_keys)
 {
--- a/tests/support/fleet_world.cpp
+++ b/tests/support/fleet_world.cpp
@@ -480,6 +480,9 @@
         if (m_options)
             read_routing(name, false);
     }
+    else if (const auto* fetch =
+                 std::get_if<entry::fetch_routing_action>(&action))
+        fetch_routing(name, fetch->peer.ip);
     else if (std::holds_alternative<entry::read_records_action>(action))
         read_records(name);
     else if (std::holds_alternative<entry::abort_promotion_action>(action))
--- a/tests/support/fleet_world.hpp
+++ b/tests/support/fleet_world.hpp
@@ -362,6 +362,7 @@
                 std::function<void(const sql::reply&)> done);
     void announce_routing(const std::string& name, millis delay);
     void read_routing(const std::string& name, bool is_probe);
+    void fetch_routing(const std::string& name, const std::string& peer);
     void follow_voters(const std::string& name, std::size_t failures);
     void hold_fetch(const table_fetch& fetch);
     void end_fetch(const table_fetch& fetch, const fleet::table_update& update);
--- a/tests/support/fleet_world_identity.cpp
+++ b/tests/support/fleet_world_identity.cpp
@@ -87,6 +87,23 @@
     });
 }
 
+void fleet_world::fetch_routing(const std::string& name,
+                                const std::string& peer)
+{
+    if (is_cut(name, peer))
+        return;
+    const auto versions = m_hosts.at(name).host->versions().for_routing_only();
+    on_host(peer, link_delay, [this, name, peer, versions] {
+        const auto update =
+            m_hosts.at(peer).host->table_update_for(versions, false, m_now);
+        if (!update || !update->routing)
+            return;
+        on_host(name, link_delay, [this, name, table = *update->routing] {
+            run(name, m_hosts.at(name).host->on_routing(table, m_now));
+        });
+    });
+}
+
 void fleet_world::follow_voters(const std::string& name, std::size_t failures)
 {
     const auto again = [this, name, failures] {
