One table regained does not make the others current

A host whose feed of the routing had failed called its tables current as soon as the feed of another table worked again, and hosts that follow it waited for changes there instead of trying the next source.

Cause: four followers set one flag, entry_host::set_tables_reachable. The host now keeps the set of tables whose calls fail and is current when it is empty; the table of primaries is read when needed and does not count.

--- a/src/plantainward/entry/entry_host.hpp
+++ b/src/plantainward/entry/entry_host.hpp
@@ -158,6 +158,14 @@
     std::uint64_t era{0};
 };
 
+/// A table whose changes a host follows and passes on.
+enum class followed_table : std::uint8_t
+{
+    routing,
+    upstreams,
+    members
+};
+
 using host_event_observer = std::function<void(const host_event&)>;
 
 /// Identity of a host process.
@@ -263,8 +271,8 @@
 
     /// Where this host gets changes of the tables from.
     table_source choose_table_source() const;
-    /// Sets whether calls to the table service succeed.
-    void set_tables_reachable(bool reachable) { m_reaches_tables = reachable; }
+    /// Sets whether calls to the table service for a table succeed.
+    void set_table_reachable(followed_table table, bool reachable);
     /// How long the table service is to hold a feed of this host, by the time
     /// since the last change of the table.
     core::millis feed_wait(core::millis since_change,
@@ -452,7 +460,7 @@
     /// Failure domains of hosts by name; also of voters that are not registered
     /// at present, so that the owners of quotas stay the same meanwhile.
     quota::voter_domains m_known_domains;
-    bool m_reaches_tables{true};
+    std::set<followed_table> m_unreachable_tables;
     /// The whole list of hosts was read at this instant or later.
     core::boot_instant m_members_read_at{};
     /// Services whose records other hosts have sent, by host; these wait until
--- a/src/plantainward/entry/entry_host_updates.cpp
+++ b/src/plantainward/entry/entry_host_updates.cpp
@@ -56,10 +56,18 @@
     return sources;
 }
 
+void entry_host::set_table_reachable(followed_table table, bool reachable)
+{
+    if (reachable)
+        m_unreachable_tables.erase(table);
+    else
+        m_unreachable_tables.insert(table);
+}
+
 bool entry_host::has_current_tables(core::boot_instant now) const
 {
     return choose_table_source() == table_source::table_service &&
-           m_reaches_tables && has_routing() &&
+           m_unreachable_tables.empty() && has_routing() &&
            (!m_behind_since || now - *m_behind_since < behind_timeout);
 }
 
--- a/tests/entry/table_update_tests.cpp
+++ b/tests/entry/table_update_tests.cpp
@@ -115,7 +115,7 @@
 TEST(table_update, updates_of_a_host_without_the_table_service_are_not_current)
 {
     update_world world;
-    world.source->set_tables_reachable(false);
+    world.source->set_table_reachable(entry::followed_table::routing, false);
     const auto update = world.source->table_update_for(world.source->versions(),
                                                        false, world.now);
     CHECK(update.has_value());
