A malformed request is answered in its place, with the state of its session

Callers saw: after a request whose text is not part of the protocol (`AFTER`, `STATUS`, an unknown word) `READY I`, also inside a transaction, and before the answer to a statement that they had sent earlier. A caller that believes the state sends its next write as a single one; it ran inside the transaction (PINNED), and its acknowledgement did not hold if the transaction was rolled back.

Cause: the gateway answered such requests itself; it knows neither the state of the session nor whether a statement of it is running.

Why this works: the gateway passes the request on as a statement of the kind `malformed`, which waits behind the session's current statement and is answered by the session like other statements that don't reach a database.

Evidence: malformed_request of platform_adapter_tests on real sockets, red before (one of three requests reached the session). The two of pooling_tests were written with the kind and could not be run before it.

--- a/src/plantainward/pooling/session_rules.cpp
+++ b/src/plantainward/pooling/session_rules.cpp
@@ -103,6 +103,9 @@
         return set_value(session, statement);
     case statement_kind::prepare:
         return prepare(session, statement);
+    case statement_kind::malformed:
+        return error_reply(session, core::error_kind::bad_request,
+                           statement.value);
     case statement_kind::deallocate:
         session.prepared.erase(statement.name);
         return success_reply(session);
--- a/src/plantainward/sql/caller_message.hpp
+++ b/src/plantainward/sql/caller_message.hpp
@@ -23,7 +23,9 @@
     set_value,
     prepare,
     execute,
-    deallocate
+    deallocate,
+    /// No text of the protocol; it is refused and never reaches a database.
+    malformed
 };
 
 /// One statement of a caller.
@@ -38,7 +40,7 @@
     /// Name of a session value or of a prepared statement.
     std::string name;
     /// New session value, shape of a prepared statement (its text without the
-    /// arguments), or arguments of an execution.
+    /// arguments), arguments of an execution, or why the text is malformed.
     std::string value;
     /// Whether a prepared statement writes.
     bool writes{false};
