--- a/soak/caller.hpp
+++ b/soak/caller.hpp
@@ -22,6 +22,8 @@
     fleet& hosts;
     const routing& routes;
     std::uint64_t seed{0};
+    /// Some prepared shapes have blanks.
+    bool has_odd_shapes{false};
     std::uint64_t last_transaction{0};
     std::uint64_t last_attempt{0};
     std::size_t last_session{0};
--- a/soak/caller_lines.cpp
+++ b/soak/caller_lines.cpp
@@ -173,7 +173,8 @@
     return std::string("PREPARE ") + prepared_names[m_dice.below(4)] +
            (m_kind != "bounded_staleness" && m_dice.chance(0.2) ? " WRITE "
                                                                 : " READ ") +
-           "q" + m_dice.hex(2);
+           "q" + m_dice.hex(2) +
+           (m_world.has_odd_shapes && m_dice.chance(0.1) ? " x" : "");
 }
 
 std::string caller::statement()
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -42,6 +42,7 @@
     std::uint64_t seed{1};
     std::set<std::string> faults;
     std::string record;
+    bool has_odd_shapes{false};
 };
 
 std::set<std::string> faults_of(const std::string& text)
@@ -81,6 +82,8 @@
                                         false, "all", "names", line);
     TCLAP::ValueArg<std::string> record("", "record", "file of the record",
                                         false, "", "path", line);
+    TCLAP::SwitchArg odd_shapes("", "odd-shapes",
+                                "some prepared shapes have blanks", line);
     line.parse(argc, argv);
     return {proxy.getValue(),
             hosts.getValue(),
@@ -89,7 +92,8 @@
             std::chrono::seconds(seconds.getValue()),
             seed.getValue(),
             faults_of(faults.getValue()),
-            record.getValue()};
+            record.getValue(),
+            odd_shapes.getValue()};
 }
 
 // The zones have 7, 4 and 4 of 15 hosts, and 88, 120 and 84 of 292 callers.
@@ -222,7 +226,8 @@
     {
         m_record.line("the hosts are ready");
         m_callers = std::make_unique<caller_world>(
-            caller_world{m_io, m_record, m_hosts, *m_routes, m_options.seed});
+            caller_world{m_io, m_record, m_hosts, *m_routes, m_options.seed,
+                         m_options.has_odd_shapes});
         for (std::size_t i = 0; i < m_options.sessions; ++i)
         {
             m_sessions.push_back(
