--- a/soak/fault_plan.cpp
+++ b/soak/fault_plan.cpp
@@ -257,7 +257,7 @@
 task fault_plan::lag()
 {
     const auto running = m_services.running();
-    const auto target = running[m_dice.below(running.size())];
+    const auto& target = running[m_dice.below(running.size())];
     target->set_deaf(true);
     co_await pause(some_time(1000, 6000));
     target->set_deaf(false);
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -182,9 +182,9 @@
 private:
     std::string folder() const
     {
-        const auto path = m_options.record.empty()
-                              ? "/tmp/soak-" + std::to_string(::getpid())
-                              : m_options.record + ".hosts";
+        auto path = m_options.record.empty()
+                        ? "/tmp/soak-" + std::to_string(::getpid())
+                        : m_options.record + ".hosts";
         std::filesystem::create_directories(path);
         return path;
     }
--- a/soak/routing.cpp
+++ b/soak/routing.cpp
@@ -151,24 +151,29 @@
     {
         const auto& kind = kind_of(item.kind);
         routes += routes.empty() ? "" : ",";
-        routes += R"({"name":"r-)" + name + R"(","host":")" + name +
-                  R"(","prefix":"/","kind":")" + item.kind +
-                  R"(","timeout_ms":)" + std::to_string(item.timeout_ms) +
-                  R"(,"target_latency_ms":)" + std::to_string(kind.target_ms) +
-                  R"(,"priority":)" + std::to_string(kind.priority) +
-                  R"(,"service":")" + item.service + R"(","max_attempts":2)" +
-                  (item.max_staleness_ms > 0
-                       ? R"(,"max_staleness_ms":)" +
-                             std::to_string(item.max_staleness_ms)
-                       : std::string()) +
-                  "}";
+        routes.append(R"({"name":"r-)").append(name);
+        routes.append(R"(","host":")").append(name);
+        routes.append(R"(","prefix":"/","kind":")").append(item.kind);
+        routes.append(R"(","timeout_ms":)")
+            .append(std::to_string(item.timeout_ms));
+        routes.append(R"(,"target_latency_ms":)")
+            .append(std::to_string(kind.target_ms));
+        routes.append(R"(,"priority":)").append(std::to_string(kind.priority));
+        routes.append(R"(,"service":")").append(item.service);
+        routes.append(R"(","max_attempts":2)");
+        if (item.max_staleness_ms > 0)
+            routes.append(R"(,"max_staleness_ms":)")
+                .append(std::to_string(item.max_staleness_ms));
+        routes += "}";
     }
     std::string services;
     for (const auto& name : m_services)
-        services += (services.empty() ? "" : ",") +
-                    (R"({"name":")" + name +
-                     R"(","health_path":"/health","max_connections":47,)"
-                     R"("protocol":"h1","tls":false,"sync_replicas":0})");
+    {
+        services += services.empty() ? "" : ",";
+        services.append(R"({"name":")").append(name);
+        services += R"(","health_path":"/health","max_connections":47,)"
+                    R"("protocol":"h1","tls":false,"sync_replicas":0})";
+    }
     return R"({"version":)" + std::to_string(m_version) + R"(,"routes":[)" +
            routes + R"(],"services":[)" + services +
            R"(],"limits":{"max_header_bytes":16384,"max_body_bytes":262144,)"
