A caller that is late in two ways is refused once

Callers would see: a host that ends while it starts.

Cause: `tick` refuses callers that wait too long for a session and callers whose line is not completed, from two lists. A caller in both was looked up after it was removed, and the exception ended the process.

Evidence: the new test of caller_gateway. The callback of the fixture can now say that the host is starting, too.

--- a/tests/platform_adapter/caller_gateway_tests.cpp
+++ b/tests/platform_adapter/caller_gateway_tests.cpp
@@ -25,7 +25,8 @@
 TEST_GROUP(caller_gateway)
 {
     boost::asio::io_context io;
-    pooling::open_result opening{pooling::open_result::opened};
+    // Empty: the host is starting.
+    std::optional<pooling::open_result> opening{pooling::open_result::opened};
     std::vector<sql::statement> statements;
     std::vector<pooling::session_id> closed;
     std::unique_ptr<caller_gateway> gateway;
@@ -36,7 +37,7 @@
         caller_callbacks callbacks;
         callbacks.open = [this](pooling::session_id, const std::string&,
                                 const std::string&) {
-            return std::optional(opening);
+            return opening;
         };
         callbacks.statement = [this](pooling::session_id,
                                      sql::statement statement) {
@@ -170,3 +171,16 @@
     gateway->tick(core::boot_clock::now() + std::chrono::seconds(11));
     CHECK(caller->read_to_end().starts_with("ERROR MALFORMED"));
 }
+
+// Guards against a host that ends while it starts: a caller that waits for it
+// and has sent a part of a line was refused twice in one tick.
+TEST(caller_gateway, a_caller_that_is_late_in_two_ways_is_refused_once)
+{
+    opening.reset();
+    send("START cards\r\nQUERY 1 RE");
+    run_for(millis(50));
+    const auto now = core::boot_clock::now();
+    gateway->tick(now);
+    gateway->tick(now + std::chrono::seconds(11));
+    CHECK(caller->read_to_end().starts_with("ERROR BUSY"));
+}
