A timer that expired before a restart starts no second feed

Callers saw nothing of it by itself: a host whose process stalled held two feeds of a table, and the store got calls for both until a change ended them together. The class is that of (activities that share a timer); found by the review.

Cause: `restart` cancels the timer of the next step, but a handler that is already queued still runs, with the start count of the restart.

--- a/tests/platform_adapter/table_follower_tests.cpp
+++ b/tests/platform_adapter/table_follower_tests.cpp
@@ -4,10 +4,13 @@
 
 #include <chrono>
 #include <memory>
+#include <string>
+#include <thread>
 
 #include <support/loopback.hpp>
 
 #include <CppUTest/TestHarness.h>
+#include <boost/asio/steady_timer.hpp>
 
 using namespace plantainward;
 using namespace plantainward::platform_adapter;
@@ -181,3 +184,23 @@
     run_for(millis(300));
     LONGS_EQUAL(3, rows);
 }
+
+// Guards against a second feed beside the first: a timer that had expired
+// before a restart, and was handled after it, started one more.
+TEST(table_follower, a_restart_after_a_stall_leaves_one_feed)
+{
+    follower->start();
+    run_for(millis(300));
+    // The feed ends with this change, and the next one waits for its pause.
+    store->put("t", "b", "2");
+    run_for(millis(20));
+    // Expires before the pause; a stalled process handles both at once.
+    boost::asio::steady_timer earlier(io, millis(1));
+    earlier.async_wait(
+        [this](boost::system::error_code) { follower->catch_up(); });
+    std::this_thread::sleep_for(batch_interval * 4);
+    const auto calls_before = store->calls();
+    run_for(millis(1000));
+    // A read of the table, and the feed that follows it.
+    LONGS_EQUAL(calls_before + 2, store->calls());
+}
