A host with a newer routing runs no forwarded statement of a moved route

Callers would see: CONFIG. A host with an old routing forwards a statement to a host that has the new one, which runs it at the service that the old one names; the database sees the host with the new routing as the sender.

Cause: the message carries the route and the receiver did not look at its own.

Change: the message carries the version of the routing too. A receiver with a newer one refuses new work whose route is gone or leads to another service, at once and with a promise. Continuations of a transaction keep the route that it began with. The layout of the message between hosts changes with this: hosts of different builds run no statements for each other.

Evidence: a_host_with_a_newer_routing_runs_no_statement_of_a_moved_route, red with the check taken out, green with it.

--- a/src/plantainward/pooling/forwarded_work.hpp
+++ b/src/plantainward/pooling/forwarded_work.hpp
@@ -37,6 +37,8 @@
     sql::statement statement;
     /// Route in force at the host that forwards the statement.
     routes::route route;
+    /// Version of the routing at the host that forwards the statement.
+    std::uint64_t routing_version{0};
     /// Workspace of the caller, which the forwarding host has checked; empty:
     /// none.
     std::string workspace{};
--- a/src/plantainward/pooling/pooler.hpp
+++ b/src/plantainward/pooling/pooler.hpp
@@ -407,6 +407,7 @@
     void finish_forwarded(session& session, forwarded_reply answer);
     void end_forwarding(session& session);
     void reply_to_host(session& session, forwarded_reply answer);
+    bool is_outdated(const forwarded_work& work) const;
     void refuse_on_this_host(session& session, const std::string& text);
     void erase_ended_remote_sessions();
 
--- a/src/plantainward/pooling/pooler_connections.cpp
+++ b/src/plantainward/pooling/pooler_connections.cpp
@@ -476,6 +476,7 @@
         session.own_commit = freshness::watermark{m_now, *answer.position};
     if (keeps_connection && answer.state != sql::transaction_state::open)
         return end_lost_transaction(connection, session, answer.state);
+    const auto upstream = connection.upstream;
     if (keeps_connection)
         connection.stage = connection_stage::pinned;
     else
@@ -487,8 +488,7 @@
         return serve_queue();
     }
     if (committed)
-        report_decision(decision_kind::committed, session, connection.upstream,
-                        {});
+        report_decision(decision_kind::committed, session, upstream, {});
     sql::reply statement_reply;
     statement_reply.rows = std::move(answer.rows);
     statement_reply.signature = std::move(answer.signature);
--- a/src/plantainward/pooling/pooler_forwarding.cpp
+++ b/src/plantainward/pooling/pooler_forwarding.cpp
@@ -39,12 +39,14 @@
                                    : transaction_part::later;
 }
 
-forwarded_work work_of(const session& session, core::boot_instant now)
+forwarded_work work_of(const session& session, std::uint64_t routing_version,
+                       core::boot_instant now)
 {
     const auto& work = *session.current;
     forwarded_work result;
     result.statement = work.statement;
     result.route = work.route;
+    result.routing_version = routing_version;
     result.workspace = session.workspace;
     result.values = session.values;
     if (const auto found = session.prepared.find(work.statement.name);
@@ -131,8 +133,9 @@
     work.forwarded = target;
     if (session.transaction)
         session.transaction->forwarded = target;
-    m_actions.emplace_back(forward_action{target.host, target.operation,
-                                          session.id, work_of(session, m_now)});
+    m_actions.emplace_back(
+        forward_action{target.host, target.operation, session.id,
+                       work_of(session, m_routing.version, m_now)});
 }
 
 void pooler::end_forwarding(session& session)
@@ -228,6 +231,16 @@
     return collect_actions();
 }
 
+// Whether this host has a newer routing in which the work's route is gone or
+// leads to another service.
+bool pooler::is_outdated(const forwarded_work& work) const
+{
+    if (work.routing_version >= m_routing.version)
+        return false;
+    const auto* route = m_routing.find(work.route.database);
+    return route == nullptr || route->service != work.route.service;
+}
+
 actions pooler::run_forwarded(const std::string& host, operation_id operation,
                               forwarded_work work, core::boot_instant now)
 {
@@ -251,6 +264,9 @@
         (is_known && m_sessions[remote->second].current))
         return reject(core::error_kind::transaction_lost,
                       "this host does not know the transaction", false);
+    if (!is_continuation && is_outdated(work))
+        return reject(core::error_kind::overloaded, "the route has changed",
+                      false);
     const bool has_no_connections =
         m_services[work.route.service].plan.share == 0;
     const bool is_stopping = m_drain_stage != drain_stage::none;
--- a/src/plantainward/relay/relay_message.cpp
+++ b/src/plantainward/relay/relay_message.cpp
@@ -40,10 +40,10 @@
 template <class Archive>
 void serialize(Archive& archive, forwarded_work& work)
 {
-    archive(work.statement, work.route, work.workspace, work.values,
-            work.prepared, work.part, work.read_only, work.transaction_age,
-            work.time_left, work.start_within, work.own_commit,
-            work.own_commit_age);
+    archive(work.statement, work.route, work.routing_version, work.workspace,
+            work.values, work.prepared, work.part, work.read_only,
+            work.transaction_age, work.time_left, work.start_within,
+            work.own_commit, work.own_commit_age);
 }
 
 template <class Archive>
--- a/tests/pooling/forwarding_tests.cpp
+++ b/tests/pooling/forwarding_tests.cpp
@@ -237,6 +237,43 @@
     CHECK(c.last_command("first").kind == sql::command_kind::rollback);
 }
 
+// Guards against a statement that runs at the old service of a moved route: a
+// host with an old routing forwards it to one that has the new routing.
+TEST(forwarding, a_host_with_a_newer_routing_runs_no_statement_of_a_moved_route)
+{
+    for (const bool is_moved : {true, false})
+    {
+        auto newer = forwarding_case::routing();
+        newer.version = is_moved ? 2 : 3;
+        if (is_moved)
+            newer.routes["cards"].service = "other";
+        else
+            newer.routes.clear();
+        for (const char* name : {"first", "second"})
+            c.hosts[name].pool.set_routing(newer, c.now);
+        c.replies.clear();
+        c.submit(statement_kind::write, "WRITE a 1");
+        CHECK_FALSE(c.replies.empty());
+        CHECK(c.replies.back().error == error_kind::overloaded);
+        c.submit(statement_kind::begin, "BEGIN");
+        c.submit(statement_kind::read, "READ a");
+        CHECK(c.replies.back().error == error_kind::overloaded);
+        c.submit(statement_kind::rollback, "ROLLBACK");
+        for (const char* name : {"first", "second"})
+            CHECK(c.hosts[name].opened.empty());
+    }
+}
+
+TEST(forwarding, a_newer_routing_with_the_same_service_runs_the_statement)
+{
+    auto newer = forwarding_case::routing();
+    newer.version = 2;
+    c.hosts["first"].pool.set_routing(newer, c.now);
+    c.submit(statement_kind::read, "READ a");
+    c.succeed("first", c.complete_open("first"));
+    STRCMP_EQUAL("s", c.replies.back().signature.c_str());
+}
+
 TEST(forwarding, a_read_whose_delegate_is_lost_runs_at_another)
 {
     c.silent_hosts.insert("first");
@@ -474,6 +511,7 @@
         work.statement.kind = statement_kind::read;
         work.statement.id = "q1";
         work.statement.text = "READ a";
+        work.routing_version = 1;
         work.route.database = "status";
         work.route.service = "ledger";
         work.route.timeout = millis(800);
--- a/tests/relay/relay_gateway_tests.cpp
+++ b/tests/relay/relay_gateway_tests.cpp
@@ -29,6 +29,7 @@
     work.route.consistency = routes::read_consistency::session;
     work.route.timeout = millis(700);
     work.route.max_age = millis(1500);
+    work.routing_version = 12;
     work.values = {{"x", "1"}};
     work.prepared = pooling::prepared_statement{true, "shape"};
     work.part = pooling::transaction_part::first;
@@ -160,6 +161,7 @@
     STRCMP_EQUAL("shape", work.prepared->shape.c_str());
     CHECK(work.part == pooling::transaction_part::first);
     CHECK((work.own_commit == upstream::log_point{3, 99}));
+    LONGS_EQUAL(12, work.routing_version);
     LONGS_EQUAL(70, work.own_commit_age.count());
     CHECK(work.start_within == millis(900));
 }
