The log names the source of a routing and how long it was awaited

`routing_in_force` now has its source and the time since a peer showed a newer version; `tables_behind` has the number of tables whose feeds fail.

Evidence: the_log_names_where_a_routing_came_from (the fields did not exist before).

--- a/src/plantainward/entry/entry_host.cpp
+++ b/src/plantainward/entry/entry_host.cpp
@@ -54,14 +54,19 @@
 }
 
 entry_actions entry_host::on_routing(routes::routing routing,
-                                     core::boot_instant now)
+                                     core::boot_instant now,
+                                     routing_source source)
 {
     entry_actions out;
     const auto version = routing.version;
     if (!m_pooler.set_routing(std::move(routing), now))
         return out;
-    report(observe::log_event::routing_in_force, {},
-           "version " + std::to_string(version));
+    const auto behind = m_behind_since ? core::to_ms(now - *m_behind_since) : 0;
+    report({observe::log_event::routing_in_force,
+            {},
+            "version " + std::to_string(version),
+            {{"source", std::string(routing_source_names[source])},
+             {"behind_ms", std::to_string(behind)}}});
     for (const auto& [name, limits] : m_pooler.routing().services)
     {
         succession_of(name);
--- a/src/plantainward/entry/entry_host.hpp
+++ b/src/plantainward/entry/entry_host.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <plantainward/core/enum_names.hpp>
 #include <plantainward/entry/routing_proof.hpp>
 #include <plantainward/entry/upstream_directory.hpp>
 #include <plantainward/fleet/connection_plan.hpp>
@@ -172,6 +173,17 @@
     members
 };
 
+/// Where a host got a routing from.
+enum class routing_source : std::uint8_t
+{
+    table_service,
+    another_host
+};
+
+/// Names of the sources in logs.
+inline constexpr core::enum_names<routing_source, 2> routing_source_names{
+    {"table service", "another host"}};
+
 using host_event_observer = std::function<void(const host_event&)>;
 
 /// Identity of a host process.
@@ -238,7 +250,9 @@
     void observe(host_event_observer on_event);
 
     /// Replaces the routing; ignores one that is not newer.
-    entry_actions on_routing(routes::routing routing, core::boot_instant now);
+    entry_actions
+    on_routing(routes::routing routing, core::boot_instant now,
+               routing_source source = routing_source::table_service);
     /// Handles the end of a read of the routing; a successful one proves that
     /// this host's routing was current when the call was sent.
     entry_actions on_routing_read(const routing_read& read,
--- a/src/plantainward/entry/entry_host_fleet.cpp
+++ b/src/plantainward/entry/entry_host_fleet.cpp
@@ -96,6 +96,7 @@
           {"peer_routing", std::to_string(m_peer_routing_version)},
           {"list_version", std::to_string(m_upstreams_version)},
           {"peer_list_version", std::to_string(m_peer_upstreams_version)},
+          {"unreachable_tables", std::to_string(m_unreachable_tables.size())},
           {"behind_ms", std::to_string(core::to_ms(now - *m_behind_since))}}});
     if (routing_behind)
         out.control.emplace_back(read_routing_action{});
--- a/src/plantainward/entry/entry_host_updates.cpp
+++ b/src/plantainward/entry/entry_host_updates.cpp
@@ -111,7 +111,7 @@
         add(on_upstreams(*update.upstreams, update.versions.upstreams,
                          std::nullopt, now));
     if (update.routing)
-        add(on_routing(*update.routing, now));
+        add(on_routing(*update.routing, now, routing_source::another_host));
     return out;
 }
 
--- a/src/plantainward/observe/log_event.cpp
+++ b/src/plantainward/observe/log_event.cpp
@@ -41,7 +41,8 @@
      "all "
      "tables are read again"},
     {routing_in_force, "routing_in_force", rare_per_s,
-     "a newer routing is in force"},
+     "a newer routing is in force; with its source and how long this host has "
+     "known that another host has it"},
     {routing_rejected, "routing_rejected", rare_per_s,
      "a routing could not be decoded; the previous one stays in force"},
     {upstream_known, "upstream_known", state_change_per_s,
@@ -53,7 +54,8 @@
      "a primary that is leaving has not been replaced for some time; with what "
      "a claim depends on"},
     {tables_behind, "tables_behind", rare_per_s,
-     "another host has had newer tables for some time; this host reads them"},
+     "another host has had newer tables for some time; this host reads them; "
+     "with the number of tables whose feeds fail"},
     {registration_rejected, "registration_rejected", rare_per_s,
      "a registration is damaged and names no database"},
     {row_rejected, "row_rejected", rare_per_s,
--- a/tests/entry/table_update_tests.cpp
+++ b/tests/entry/table_update_tests.cpp
@@ -101,6 +101,29 @@
     CHECK(early.choose_table_source() == entry::table_source::none);
 }
 
+// Guards against a record that can't tell a host whose feed was late from one
+// that got the change of a peer in time.
+TEST(table_update, the_log_names_where_a_routing_came_from)
+{
+    update_world world;
+    std::vector<std::string> sources;
+    world.receiver->observe([&](const entry::host_event& event) {
+        if (event.event != observe::log_event::routing_in_force)
+            return;
+        for (const auto& [name, value] : event.inputs)
+            if (name == "source")
+                sources.push_back(value);
+    });
+    fleet::table_update update;
+    update.versions.routing = 3;
+    update.routing = routing(3);
+    world.receiver->on_table_update(update, world.now);
+    world.receiver->on_routing(routing(4), world.now);
+    LONGS_EQUAL(2, sources.size());
+    STRCMP_EQUAL("another host", sources.front().c_str());
+    STRCMP_EQUAL("table service", sources.back().c_str());
+}
+
 TEST(table_update, an_older_routing_is_ignored)
 {
     update_world world;
