--- a/review/7/run.sh
+++ b/review/6/run.sh
@@ -3,7 +3,7 @@
 # the case could not run. TROUBLE=0 leaves the disruption out.
 set -u
 cd "$(dirname "$0")/../.."
-program=target/review-2/case_own_commit
+program=target/review-2/case_most_replaced
 poold=target/programs/plantainward_poold
 if [ ! -x "$program" ] || [ ! -x "$poold" ]; then
   echo "build with the command of the deploy file and review/build-2.sh" >&2
@@ -11,7 +11,7 @@
 fi
 folder=$(mktemp -d)
 trap 'rm -rf "$folder"' EXIT
-timeout -k 2 110 "$program" "$PWD/$poold" "$folder" review/7/record.txt
+timeout -k 2 115 "$program" "$PWD/$poold" "$folder" review/6/record.txt
 case $? in
   0) exit 0 ;;
   1) exit 1 ;;
--- a/review/harness-2/site.cpp
+++ b/review/harness-2/site.cpp
@@ -26,7 +26,6 @@
 namespace
 {
 
-constexpr std::size_t host_count = 3;
 constexpr std::size_t copies = 3;
 constexpr unsigned store_address = 1;
 constexpr unsigned first_host_address = 10;
@@ -68,11 +67,19 @@
 
 void site::end_processes()
 {
-    for (const auto process : m_processes)
-        ::kill(process, SIGKILL);
-    for (const auto process : m_processes)
-        ::waitpid(process, nullptr, 0);
-    m_processes.clear();
+    while (!m_processes.empty())
+        kill_host(m_processes.begin()->first);
+}
+
+void site::kill_host(std::size_t number)
+{
+    const auto found = m_processes.find(number);
+    if (found == m_processes.end())
+        return;
+    ::kill(found->second, SIGKILL);
+    ::waitpid(found->second, nullptr, 0);
+    m_processes.erase(found);
+    m_record.line("host " + std::to_string(number) + " is killed");
 }
 
 tcp::endpoint site::address(unsigned last, unsigned port) const
@@ -115,7 +122,7 @@
 }
 
 bool site::start(const std::vector<std::string>& services,
-                 const std::vector<route>& routes)
+                 const std::vector<route>& routes, std::size_t hosts)
 {
     if (!take_addresses())
         return false;
@@ -141,10 +148,10 @@
             announce_all();
         }
     }).detach();
-    for (std::size_t i = 0; i < host_count; ++i)
-        start_host(i);
+    for (std::size_t i = 0; i < hosts; ++i)
+        start_host(i, true);
     const auto end = steady::now() + start_limit;
-    for (std::size_t i = 0; i < host_count; ++i)
+    for (std::size_t i = 0; i < hosts; ++i)
         while (!is_ready(i))
         {
             if (steady::now() > end)
@@ -155,8 +162,9 @@
     return true;
 }
 
-void site::start_host(std::size_t number)
+void site::start_host(std::size_t number, bool is_first_start)
 {
+    m_record.line("host " + std::to_string(number) + " starts");
     const auto ip = host(number).address().to_string();
     const auto name = "front-skt-a-" + std::to_string(number + 1);
     const auto store_text = m_network + std::to_string(store_address) + ":" +
@@ -174,7 +182,7 @@
          {{"front", ip + ":" + std::to_string(caller_port)},
           {"ready", ip + ":" + std::to_string(ready_port)}}},
         {"internal_ports", {7440, 7455}},
-        {"first_start", true},
+        {"first_start", is_first_start},
         {"limits",
          {{"cpu_share", 0.17},
           {"cores", 1},
@@ -198,7 +206,7 @@
     if (process == 0)
     {
         ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-        const int file = ::open(log.c_str(), O_WRONLY | O_CREAT | O_TRUNC,
+        const int file = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND,
                                 S_IRUSR | S_IWUSR);
         ::dup2(file, STDOUT_FILENO);
         ::dup2(file, STDERR_FILENO);
@@ -206,7 +214,7 @@
         ::execl(m_options.poold.c_str(), m_options.poold.c_str(), nullptr);
         ::_exit(errno);
     }
-    m_processes.push_back(process);
+    m_processes[number] = process;
 }
 
 bool site::is_ready(std::size_t number) const
@@ -280,6 +288,12 @@
         written = std::move(entry);
 }
 
+void site::remove_entry(const database& member)
+{
+    m_store->remove("servers", member.id());
+    m_record.line("the entry of " + member.id() + " is removed");
+}
+
 void site::announce_all()
 {
     for (const auto& [name, group] : m_groups)
--- a/review/harness-2/site.hpp
+++ b/review/harness-2/site.hpp
@@ -47,9 +47,9 @@
     int max_staleness_ms{0};
 };
 
-/// Three hosts that run the project's program, with databases, a store and a
-/// promotion call of their own, on loopback addresses that no other run uses.
-/// All processes end with it.
+/// Hosts that run the project's program, with databases, a
+/// store and a promotion call of their own, on loopback addresses that no other
+/// run uses. All processes end with it.
 class site
 {
 public:
@@ -64,10 +64,18 @@
 
     /// Starts all; false when it is not ready within 20 s.
     bool start(const std::vector<std::string>& services,
-               const std::vector<route>& routes);
+               const std::vector<route>& routes, std::size_t hosts = 3);
     /// Writes a new version of the configuration.
     void configure(const std::vector<route>& routes);
 
+    /// Starts a host that is new to the fleet, or one that was killed.
+    void start_host(std::size_t number, bool is_first_start = false);
+    void kill_host(std::size_t number);
+
+    /// Removes a database's entry, as the store does after three heartbeat
+    /// intervals of silence.
+    void remove_entry(const database& member);
+
     /// Ends and starts an outage of the whole store.
     void set_store_down(bool is_down) { m_store->set_down(is_down); }
 
@@ -82,7 +90,6 @@
     boost::asio::ip::tcp::endpoint address(unsigned last, unsigned port) const;
     bool take_addresses();
     void end_processes();
-    void start_host(std::size_t number);
     /// Writes a database's entry if more than its sequence has changed.
     void announce(const database_group& group, const database& member);
     void announce_all();
@@ -95,7 +102,7 @@
     std::unique_ptr<store> m_store;
     std::map<std::string, std::unique_ptr<database_group>> m_groups;
     std::vector<std::string> m_services;
-    std::vector<pid_t> m_processes;
+    std::map<std::size_t, pid_t> m_processes;
     std::uint64_t m_version{0};
     /// The entries of the databases as they were last written.
     std::mutex m_entries_mutex;
--- a/review/harness-2/store.cpp
+++ b/review/harness-2/store.cpp
@@ -278,4 +278,12 @@
     return true;
 }
 
+void store::remove(const std::string& table, const std::string& key)
+{
+    const std::lock_guard lock(m_mutex);
+    ++m_version;
+    m_rows[{table, key}] = {{}, m_version, true};
+    m_changed.notify_all();
+}
+
 } // namespace review
--- a/review/harness-2/store.hpp
+++ b/review/harness-2/store.hpp
@@ -38,6 +38,7 @@
     /// written, while the store is down.
     bool put(const std::string& table, const std::string& key,
              const boost::json::value& value);
+    void remove(const std::string& table, const std::string& key);
 
 private:
     struct row
