--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -10,8 +10,13 @@
   exit 2
 fi
 folder=$(mktemp -d)
-trap 'rm -rf "$folder"' EXIT
-timeout -k 2 110 "$program" "$PWD/$poold" "$folder" review/8/record.txt
+"$program" "$PWD/$poold" "$folder" review/8/record.txt &
+child=$!
+# An interrupted run ends its processes too: those of the hosts end with the
+# program that started them.
+trap 'kill -KILL "$child" 2>/dev/null; wait "$child" 2>/dev/null; rm -rf "$folder"' EXIT
+trap 'exit 2' HUP INT TERM
+wait "$child"
 case $? in
   0) exit 0 ;;
   1) exit 1 ;;
--- a/review/harness-2/site.cpp
+++ b/review/harness-2/site.cpp
@@ -35,6 +35,9 @@
 constexpr unsigned ready_port = 8785;
 constexpr unsigned database_port = 5432;
 
+// A case ends after this time in any event.
+constexpr unsigned time_limit_s = 115;
+
 constexpr int max_connections = 47;
 // For the settings. Here a change is written within the shorter time.
 constexpr ms heartbeat_interval{1200};
@@ -57,6 +60,10 @@
     options.record_path = argv[3];
     const char* trouble = std::getenv("TROUBLE");
     options.has_trouble = trouble == nullptr || std::string(trouble) != "0";
+    // The processes of the hosts end with this one, and this one with the shell
+    // that started it, also when that is killed.
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    ::alarm(time_limit_s);
     return options;
 }
 
@@ -202,10 +209,13 @@
     const auto path = m_options.folder + "/" + name + ".json";
     std::ofstream(path) << json::serialize(settings);
     const auto log = m_options.folder + "/" + name + ".log";
+    const auto parent = ::getpid();
     const auto process = ::fork();
     if (process == 0)
     {
         ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+        if (::getppid() != parent)
+            ::_exit(EXIT_FAILURE);
         const int file = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND,
                                 S_IRUSR | S_IWUSR);
         ::dup2(file, STDOUT_FILENO);
