A session keeps its last commit of each service

Cause: session::own_commit kept one log position for all services. The commit at the second service replaced the one at the first, and required_point compared positions of two logs.

A read considers only the commit at its route's service, and runs at the primary if that commit may have been dropped because of the limit, also where it is forwarded. The message between hosts is unchanged.

--- a/src/plantainward/pooling/forwarded_work.hpp
+++ b/src/plantainward/pooling/forwarded_work.hpp
@@ -54,8 +54,8 @@
     core::millis time_left{0};
     /// Time left to start the statement under its quota; empty: unlimited.
     std::optional<core::millis> start_within{};
-    /// Log point of the session's last commit, and the time since it was
-    /// acknowledged.
+    /// Log point of the session's last commit at the route's service, and the
+    /// time since it was acknowledged.
     std::optional<upstream::log_point> own_commit;
     core::millis own_commit_age{0};
 };
--- a/src/plantainward/pooling/placement.cpp
+++ b/src/plantainward/pooling/placement.cpp
@@ -33,7 +33,7 @@
 constexpr double primary_load_cost_ms = 15;
 
 /// The log point that a replica must have for a read; empty when no watermark
-/// is recent enough.
+/// is recent enough, or the point of the session's own commit is not known.
 std::optional<upstream::log_point> required_point(const service_view& service,
                                                   const work& work,
                                                   const session& session)
@@ -44,20 +44,21 @@
         since - work.route.max_age + age_margin);
     if (!watermark)
         return std::nullopt;
-    auto point = watermark->point;
-    const bool needs_own =
-        work.route.consistency == routes::read_consistency::session &&
-        session.own_commit && session.own_commit->since >= watermark->since;
-    if (!needs_own)
-        return point;
+    if (work.route.consistency != routes::read_consistency::session)
+        return watermark->point;
+    if (session.commits.may_lack(work.route.service, watermark->since))
+        return std::nullopt;
+    const auto commit = session.commits.last_at(work.route.service);
+    if (!commit || commit->since < watermark->since)
+        return watermark->point;
     // A watermark of a later term, taken after the session's commit was
     // acknowledged, either includes the commit or proves that it was rolled
     // back.
     const auto newest = service.watermarks.newest();
-    if (newest && newest->since >= session.own_commit->since &&
-        newest->point.term > session.own_commit->point.term)
+    if (newest && newest->since >= commit->since &&
+        newest->point.term > commit->point.term)
         return newest->point;
-    return std::max(point, session.own_commit->point);
+    return std::max(watermark->point, commit->point);
 }
 
 bool is_usable(const upstream_pool& pool, const work& work,
--- a/src/plantainward/pooling/pooler_connections.cpp
+++ b/src/plantainward/pooling/pooler_connections.cpp
@@ -473,7 +473,7 @@
                                                    connection.sent_at, m_now) &&
                             !is_of_earlier_term;
     if (committed && answer.position)
-        session.own_commit = freshness::watermark{m_now, *answer.position};
+        session.commits.record(work.route.service, {m_now, *answer.position});
     if (keeps_connection && answer.state != sql::transaction_state::open)
         return end_lost_transaction(connection, session, answer.state);
     const auto upstream = connection.upstream;
--- a/src/plantainward/pooling/pooler_forwarding.cpp
+++ b/src/plantainward/pooling/pooler_forwarding.cpp
@@ -63,11 +63,18 @@
     if (work.start_by)
         result.start_within =
             std::max(core::millis(0), -age_of(now, *work.start_by));
-    if (session.own_commit)
+    if (const auto commit = session.commits.last_at(work.route.service))
     {
-        result.own_commit = session.own_commit->point;
-        result.own_commit_age = age_of(now, session.own_commit->since);
+        result.own_commit = commit->point;
+        result.own_commit_age = age_of(now, commit->since);
     }
+    // The receiver can't know which position a replica must have.
+    const auto reads_since =
+        session.transaction ? session.transaction->began_at : work.received;
+    if (work.route.consistency == routes::read_consistency::session &&
+        session.commits.may_lack(work.route.service,
+                                 reads_since - work.route.max_age))
+        result.route.consistency = routes::read_consistency::latest;
     return result;
 }
 
@@ -203,8 +210,8 @@
         work.is_unrepeatable &&
         (!session.transaction || !session.transaction->read_only);
     if (committed && answer.reply.position)
-        session.own_commit =
-            freshness::watermark{m_now, *answer.reply.position};
+        session.commits.record(work.route.service,
+                               {m_now, *answer.reply.position});
     if (committed)
         report_decision(decision_kind::committed, session, {},
                         "by another host");
@@ -295,8 +302,8 @@
     if (work.prepared)
         session.prepared[work.statement.name] = *work.prepared;
     if (work.own_commit)
-        session.own_commit =
-            freshness::watermark{now - work.own_commit_age, *work.own_commit};
+        session.commits.record(work.route.service,
+                               {now - work.own_commit_age, *work.own_commit});
     if (work.part == transaction_part::first)
     {
         session.transaction.emplace();
--- a/src/plantainward/pooling/session.hpp
+++ b/src/plantainward/pooling/session.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <plantainward/freshness/watermark_log.hpp>
 #include <plantainward/pooling/connection.hpp>
 #include <plantainward/pooling/forwarded_work.hpp>
+#include <plantainward/pooling/own_commits.hpp>
 #include <plantainward/quota/token_requester.hpp>
 #include <plantainward/routes/routing.hpp>
 #include <plantainward/sql/caller_message.hpp>
@@ -118,8 +118,7 @@
     std::optional<work> current;
     /// Statements that arrived before the answer to the current one.
     std::deque<sql::statement> queued;
-    /// The session's last commit: when it was acknowledged, and its log point.
-    std::optional<freshness::watermark> own_commit;
+    own_commits commits;
     core::boot_instant last_active{};
     /// Host that forwarded the session's statements, and the operation there;
     /// empty for sessions of this host's own callers.
--- a/tests/pooling/forwarding_tests.cpp
+++ b/tests/pooling/forwarding_tests.cpp
@@ -61,6 +61,39 @@
         return routing_table;
     }
 
+    /// Moves the route of all hosts to a service that has one database.
+    void move_route_to(
+        const std::string& service,
+        routes::read_consistency consistency = routes::read_consistency::latest)
+    {
+        services.insert(service);
+        auto moved = routing();
+        moved.version = ++routing_version;
+        moved.routes["cards"].service = service;
+        moved.routes["cards"].consistency = consistency;
+        moved.routes["cards"].max_age = millis(1500);
+        std::vector<routes::upstream> databases;
+        for (const auto& name : services)
+        {
+            moved.services[name].max_connections = 30;
+            const auto id = name == "ledger" ? "p" : "p-" + name;
+            databases.push_back({id, name, {id, 1}, "a", false, true, 1});
+        }
+        for (auto& [name, simulated_host] : hosts)
+        {
+            auto& pool = simulated_host.pool;
+            pool.set_routing(moved, now);
+            apply(name, pool.set_upstreams(databases, now));
+            for (const auto& database : databases)
+                apply(name, pool.set_primary(database.service, database.id,
+                                             now + millis(100'000), now));
+            pool.set_plan(service,
+                          name == "front"
+                              ? connection_plan{0, {"first", "second"}, {}}
+                              : connection_plan{2, {}, {}});
+        }
+    }
+
     /// Records the actions of a host; messages are delivered to the other host
     /// at once.
     void apply(const std::string& name, const actions& new_actions)
@@ -136,12 +169,13 @@
     }
 
     void succeed(const std::string& name, connection_id id,
-                 transaction_state state = transaction_state::idle)
+                 transaction_state state = transaction_state::idle,
+                 std::uint64_t position = 10)
     {
         sql::command_answer command_answer;
         command_answer.signature = "s";
         command_answer.state = state;
-        command_answer.position = upstream::log_point{1, 10};
+        command_answer.position = upstream::log_point{1, position};
         apply(name, hosts[name].pool.on_answer(id, command_answer, now));
     }
 
@@ -165,6 +199,8 @@
     boot_instant now{std::chrono::seconds(100)};
     std::map<std::string, host> hosts;
     std::set<std::string> silent_hosts;
+    std::set<std::string> services{"ledger"};
+    std::uint64_t routing_version{1};
     std::vector<forward_action> forwarded;
     std::vector<sql::reply> replies;
     int last_id{0};
@@ -440,6 +476,42 @@
     LONGS_EQUAL(70, work.own_commit_age.count());
 }
 
+// Failure: the position of a commit at one service was forwarded with a read at
+// another, and that of a commit at the read's service was not.
+TEST(forwarding, the_last_commit_at_the_service_of_the_route_is_forwarded)
+{
+    c.submit(statement_kind::write, "WRITE a 1");
+    c.succeed("first", c.complete_open("first"), transaction_state::idle, 50);
+    c.move_route_to("archive");
+    c.submit(statement_kind::write, "WRITE a 1");
+    CHECK_FALSE(c.forwarded.back().work.own_commit.has_value());
+    c.succeed("first", c.complete_open("first"), transaction_state::idle, 7);
+    c.move_route_to("ledger");
+    c.submit(statement_kind::read, "READ a");
+    CHECK((c.forwarded.back().work.own_commit == upstream::log_point{1, 50}));
+}
+
+// Failure: another host read at a replica although the position of the
+// session's commit was no longer known.
+TEST(forwarding, a_read_whose_commit_is_not_kept_is_forwarded_to_the_primary)
+{
+    c.move_route_to("ledger", routes::read_consistency::session);
+    c.submit(statement_kind::write, "WRITE a 1");
+    c.succeed("first", c.complete_open("first"));
+    for (std::size_t i = 0; i <= own_commits::max_services; ++i)
+    {
+        c.now += millis(1);
+        c.move_route_to("archive-" + std::to_string(i),
+                        routes::read_consistency::session);
+        c.submit(statement_kind::write, "WRITE a 1");
+        c.succeed("first", c.complete_open("first"));
+    }
+    c.move_route_to("ledger", routes::read_consistency::session);
+    c.submit(statement_kind::read, "READ a");
+    CHECK(c.forwarded.back().work.route.consistency ==
+          routes::read_consistency::latest);
+}
+
 TEST(forwarding,
      a_host_that_cannot_reach_the_primary_forwards_to_a_fallback_delegate)
 {
