A fleet that lost most or all of its voters replaces primaries again

Cause, three parts: only a host that hears a majority names a voter as lost; only a voter changes the set; previous voters that can't be informed were waited for 307 s, and could go on without the store for as long as all lived.

Change: a host that hears no majority, or no voter at all, removes the registration of one silent voter, and the others only if that one does not register again; what stays unregistered for 5 s is replaced. Voters confirm records for 15 s after a read (each 5 s) instead of 300 s; all together for 300 s, unless the set requires recent reads, as it does once a majority is lost. Unregistered voters no longer count as acknowledging anything, a fence by all registered hosts needs a majority too, and owners of quotas need recent reads: a registration may now be removed by a single host, and its owner may live without the store.

--- a/src/plantainward/entry/entry_host.cpp
+++ b/src/plantainward/entry/entry_host.cpp
@@ -508,7 +508,7 @@
             };
         view.claim.majority_acknowledged =
             [&, &name = service](std::uint64_t version) {
-                return m_fleet.majority_acknowledged(name, version, now);
+                return m_fleet.majority_acknowledged(name, version);
             };
         view.can_reach_majority = can_reach_majority;
         view.suspects_primary =
@@ -538,6 +538,7 @@
 {
     entry_actions out;
     out.pooling = m_pooler.tick(now);
+    m_fleet.update_contact(now);
     update_quotas(now);
     update_upstreams(now, out);
     renew_leases(now, out);
--- a/src/plantainward/entry/entry_host.hpp
+++ b/src/plantainward/entry/entry_host.hpp
@@ -408,6 +408,8 @@
                         std::uint64_t version, core::boot_instant at) const;
     void prove_by_reads();
     void remove_lost_members(core::boot_instant now, entry_actions& out);
+    bool is_first_to_remove(const std::string& member,
+                            core::boot_instant now) const;
     bool must_adopt(core::boot_instant now) const;
     bool awaits_rewrite(const record_table& table, core::boot_instant now);
     bool adopt_restored(const record_table& table, core::boot_instant now,
--- a/src/plantainward/fleet/fleet_view.hpp
+++ b/src/plantainward/fleet/fleet_view.hpp
@@ -5,6 +5,7 @@
 #include <plantainward/core/time.hpp>
 #include <plantainward/fleet/connection_plan.hpp>
 #include <plantainward/fleet/heartbeat.hpp>
+#include <plantainward/fleet/voter_contact.hpp>
 #include <plantainward/fleet/voter_set.hpp>
 
 #include <cstddef>
@@ -35,6 +36,20 @@
     /// Time for which a voter is unregistered before it counts as gone; longer
     /// than a restart takes.
     core::millis absence_timeout{20'000};
+    /// The same while no majority of the voters is heard; longer than a live
+    /// host takes to register again after its registration was removed.
+    core::millis urgent_absence_timeout{5000};
+    /// Time within which a live host registers again. Where no majority is
+    /// heard, one voter's registration is removed first, and those of the
+    /// other silent voters only if it does not come back.
+    core::millis return_timeout{3000};
+    /// Time after the return of a voter for which a host that hears no majority
+    /// removes no further one, since it may itself be the one that is cut off.
+    core::millis return_pause{10'000};
+    /// Time between the first and the last read of one version of the voter
+    /// set after which no write of an earlier process of this host can still
+    /// be performed.
+    core::millis late_write_time{30'000};
     /// Number of live voters to which a member that does not vote sends
     /// heartbeats; in addition each round tries another voter.
     std::size_t source_count{2};
@@ -86,6 +101,21 @@
     /// change of the set must be known to every voter of the changed set.
     void note_records_read(std::uint64_t voters_version, core::boot_instant at);
 
+    /// Notes that this host is about to change the set. From now on it confirms
+    /// records under the present version only with a recent read, so that the
+    /// voters can't go on without one.
+    void note_voters_write();
+
+    /// Notes which voters are heard; called at least once per heartbeat.
+    void update_contact(core::boot_instant now);
+
+    /// Whether this host does not vote, and no voter has answered it for so
+    /// long that all of them may be lost.
+    bool is_without_voters(core::boot_instant now) const;
+
+    /// Since when no voter, no majority, or all of them have been heard.
+    const voter_contact& contact() const { return m_contact; }
+
     /// Version of the voter set that was read together with the records.
     std::uint64_t read_voters_version() const { return m_read_voters_version; }
 
@@ -133,9 +163,9 @@
                    core::boot_instant now) const;
 
     /// The latest instant at or after which a majority of the voters, this host
-    /// included, had the same voter set; while a change of the set is not
-    /// complete, a majority of the previous voters too. Empty without such a
-    /// majority, and for a host that does not vote.
+    /// included, had the same voter set, which they had read lately, or all had
+    /// it; while a change of the set is not complete, the previous voters too.
+    /// Empty without such a majority, and for a host that does not vote.
     std::optional<core::boot_instant>
     majority_instant(core::boot_instant now) const;
 
@@ -147,27 +177,39 @@
     /// Whether no quorum can prove an older record than this version any more:
     /// a majority of the voters, and of the previous ones while a change of the
     /// set is not complete, knows it. A host that knows no record yet does not
-    /// count, since its read may still return an older one; a voter that has
-    /// left counts.
+    /// count, since its read may still return an older one; nor does one that
+    /// is not registered, since it may live without the table service.
     bool majority_acknowledged(const std::string& service,
-                               std::uint64_t version,
-                               core::boot_instant now) const;
+                               std::uint64_t version) const;
 
     /// Whether a majority of the previous voters knows the newest set.
-    bool previous_voters_informed(core::boot_instant now) const;
+    bool previous_voters_informed() const;
+
+    /// Whether a majority of the voters is live.
+    bool hears_majority(core::boot_instant now) const;
 
-    /// Whether enough voters are live, or have left, to acknowledge a claim.
+    /// Whether enough voters are live to acknowledge a claim.
     bool can_reach_majority(core::boot_instant now) const;
 
     /// Voters that have been unregistered for longer than a restart takes.
     std::set<std::string> absent_voters(core::boot_instant now) const;
 
+    /// Voters that have been unregistered for longer than a live host takes to
+    /// register again.
+    std::set<std::string> urgently_absent_voters(core::boot_instant now) const;
+
     /// Newest version of the voter set that a peer's heartbeat has shown.
     std::uint64_t newest_voters_version() const
     {
         return m_newest_voters_version;
     }
 
+    /// When a heartbeat first showed this version.
+    core::boot_instant newest_voters_shown_at() const
+    {
+        return m_newest_voters_shown_at;
+    }
+
     /// Whether every registered host, and every host that left the list within
     /// the validity of a lease, knows this version or a newer one.
     bool all_acknowledged(const std::string& service, std::uint64_t version,
@@ -209,9 +251,10 @@
     std::set<std::string> heard_members(core::boot_instant now) const;
 
     /// Names of the voters that have sent no heartbeat for so long that their
-    /// registrations may be removed. Empty for a host that receives no
-    /// heartbeats from a majority, since it may itself be the one that is cut
-    /// off.
+    /// registrations may be removed. A host that hears no majority, and a host
+    /// that does not vote and hears no voter, may itself be the one that is cut
+    /// off: it names one voter, and the others only if that one does not
+    /// register again.
     std::vector<std::string> lost_voters(core::boot_instant now) const;
 
     /// Number of registered members, this host included.
@@ -236,8 +279,13 @@
     void update_absences(core::boot_instant now);
     bool is_live(const peer_state& peer, core::boot_instant now) const;
     bool is_live(const std::string& name, core::boot_instant now) const;
-    bool is_absent(const std::string& name, core::boot_instant now) const;
+    bool is_absent(const std::string& name, core::millis timeout,
+                   core::boot_instant now) const;
+    std::set<std::string> absent_voters(core::millis timeout,
+                                        core::boot_instant now) const;
+    std::vector<std::string> silent_voters(core::boot_instant now) const;
     bool has_read_lately(core::boot_instant now) const;
+    bool confirms_with_all(core::boot_instant now) const;
     bool confirms(const std::string& name, const peer_state& peer,
                   const std::string& service, std::uint64_t version) const;
     std::optional<core::boot_instant> sent_at(std::uint32_t sequence) const;
@@ -253,9 +301,17 @@
     /// Version of the set that this host read together with the records.
     std::uint64_t m_read_voters_version{0};
     core::boot_instant m_records_read_at{};
+    /// When this host first read that version.
+    core::boot_instant m_voters_first_read_at{};
+    /// Version of the set when this host last began to change it.
+    std::uint64_t m_changed_voters_version{0};
     std::uint64_t m_newest_voters_version{0};
+    core::boot_instant m_newest_voters_shown_at{};
+    voter_contact m_contact;
     /// Since when voters have not been registered.
     std::map<std::string, core::boot_instant> m_absent_since;
+    /// When a voter was last registered again.
+    std::optional<core::boot_instant> m_last_return;
     /// Voters in the order in which this host sends them heartbeats: one of
     /// the own failure domain comes first.
     std::vector<std::string> m_sources;
--- a/src/plantainward/fleet/heartbeat.hpp
+++ b/src/plantainward/fleet/heartbeat.hpp
@@ -68,6 +68,9 @@
     /// The sender has read them so lately that no change of the voters without
     /// its knowledge is in force.
     bool has_read_lately{false};
+    /// The sender confirms records together with all other voters although it
+    /// may not have read them lately.
+    bool confirms_with_all{false};
     /// Version of the voter set that the sender read together with the records;
     /// 0: none.
     std::uint64_t voters_version{0};
--- a/src/plantainward/fleet/voter_change.hpp
+++ b/src/plantainward/fleet/voter_change.hpp
@@ -2,6 +2,7 @@
 
 #include <plantainward/core/boot_clock.hpp>
 #include <plantainward/core/time.hpp>
+#include <plantainward/fleet/voter_contact.hpp>
 #include <plantainward/fleet/voter_set.hpp>
 
 #include <cstddef>
@@ -33,21 +34,37 @@
     /// Position of this host in the order in which hosts change the set; 0
     /// comes first.
     std::size_t rank{0};
+    std::string self{};
+    /// Voters that this host hears at present, itself included.
+    std::set<std::string> live{};
+    /// Since when it has heard too few of them, or all.
+    voter_contact contact{};
+    /// Voters that have been unregistered for longer than a live host takes to
+    /// register again.
+    std::set<std::string> urgently_absent{};
+    /// This host does not vote, and all voters seem to be lost.
+    bool is_without_voters{false};
+
+    /// Whether a voter, or a host that may become one, lives as far as known.
+    /// Hosts that don't vote send heartbeats to each voter more rarely.
+    bool lives(const std::string& name) const
+    {
+        return voters.names.contains(name) ? live.contains(name)
+                                           : heard.contains(name);
+    }
 };
 
 /// Decides when this host creates, changes or repairs the shared voter set.
 ///
 /// The set changes rarely: a voter is replaced only after it has been
 /// unregistered for longer than a restart takes, and a change begins only some
-/// time after the one before.
+/// time after the one before. While no majority of the voters is heard, no
+/// primary can be replaced, so the lost ones are replaced sooner; they may live
+/// without the table service, so the second step waits until they confirm
+/// nothing without having read the change.
 class voter_change
 {
 public:
-    /// A voter that has not read the shared records for this long confirms no
-    /// record, unless all voters confirm it together: by then a set without it
-    /// may be in force.
-    static constexpr core::millis max_read_age{300'000};
-
     explicit voter_change(voter_options options) : m_options(options) {}
 
     /// The set to write, if one is due; its condition is the view's
@@ -60,8 +77,14 @@
                                   core::boot_instant now);
     std::optional<voter_set> complete(const voter_change_view& view,
                                       core::boot_instant now);
+    std::optional<voter_set> replace(const voter_change_view& view,
+                                     const std::set<std::string>& absent) const;
     std::optional<voter_set>
-    replace_absent(const voter_change_view& view) const;
+    replace_lost_majority(const voter_change_view& view,
+                          core::boot_instant now) const;
+    std::optional<voter_set> replace_all(const voter_change_view& view) const;
+    std::optional<voter_set> update_read_rule(const voter_change_view& view,
+                                              core::boot_instant now) const;
 
     voter_options m_options;
     std::uint64_t m_version{0};
--- a/src/plantainward/fleet/voter_set.hpp
+++ b/src/plantainward/fleet/voter_set.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <plantainward/core/last_error.hpp>
+#include <plantainward/core/time.hpp>
 #include <plantainward/fleet/member.hpp>
 
 #include <algorithm>
@@ -31,6 +32,20 @@
     /// Voters before the last change, while proofs of theirs may be valid: a
     /// claim needs a majority of these too. Empty after the second step.
     std::set<std::string> previous;
+    /// Every voter must have read the records lately to confirm one. Otherwise
+    /// all voters together may go on for `max_outage` without a read.
+    bool needs_recent_reads{false};
+    /// The same for the previous voters. Also set when one of them made the
+    /// change, since it no longer confirms under the set before.
+    bool previous_need_recent_reads{false};
+
+    /// Longest time since its last read of the records for which a voter
+    /// confirms one, while not all voters do: above the longest outage of the
+    /// table service (9 s) together with the interval between reads.
+    static constexpr core::millis max_read_age{15'000};
+
+    /// The same while all voters confirm a record together.
+    static constexpr core::millis max_outage{300'000};
 
     /// Whether the set is between the two steps of a change.
     bool is_joint() const { return !previous.empty(); }
@@ -47,7 +62,8 @@
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(names, previous);
+        archive(names, previous, needs_recent_reads,
+                previous_need_recent_reads);
     }
 };
 
--- a/src/plantainward/succession/claim.cpp
+++ b/src/plantainward/succession/claim.cpp
@@ -196,8 +196,10 @@
         return true;
     if (!m_majority_at && view.majority_acknowledged(m_record.version))
         m_majority_at = now;
+    // Hosts that are not registered may live without the table service. They
+    // prove nothing more to each other once a majority has acknowledged.
     const bool has_all_acknowledged =
-        view.all_acknowledged(m_record.version, m_claimed_at);
+        m_majority_at && view.all_acknowledged(m_record.version, m_claimed_at);
     const bool leases_over =
         m_majority_at && now - std::max(m_claimed_at, *m_majority_at) >
                              primary_lease::validity + fence_slack;
--- a/tests/succession/claim_tests.cpp
+++ b/tests/succession/claim_tests.cpp
@@ -124,6 +124,21 @@
     CHECK(c.attempt.stage() == claim_stage::gathering);
 }
 
+// Failure: hosts whose registrations had been removed lived without the table
+// service, and proved the record before the claim to each other.
+TEST(claim, registered_hosts_that_are_no_majority_of_the_voters_do_not_suffice)
+{
+    claim_case c(claim_trigger::lost);
+    c.view.all_acknowledged = [](std::uint64_t, boot_instant) {
+        return true;
+    };
+    c.write_claim();
+    c.tick_after(millis(300));
+    c.answer_all();
+    c.tick_after(millis(1));
+    CHECK(c.attempt.stage() == claim_stage::gathering);
+}
+
 TEST(claim, without_a_majority_nothing_is_ever_promoted)
 {
     claim_case c(claim_trigger::lost);
--- a/tests/support/fleet_world.cpp
+++ b/tests/support/fleet_world.cpp
@@ -212,6 +212,16 @@
     announce_members();
 }
 
+void fleet_world::lose(const std::string& host)
+{
+    m_checker.disturb_until(host, m_now);
+    auto& lost = m_hosts.at(host);
+    lost.host.reset();
+    lost.deferred_steps.clear();
+    ++lost.incarnation;
+    forget_work_of(host);
+}
+
 std::string fleet_world::add_host()
 {
     auto name = host_name(m_hosts.size());
--- a/tests/support/fleet_world.hpp
+++ b/tests/support/fleet_world.hpp
@@ -139,6 +139,9 @@
     /// Ends a host's process, which unregisters the host; `restart` starts it
     /// again.
     void stop(const std::string& host);
+    /// Ends a host's process for good; its registration stays until another
+    /// host removes it.
+    void lose(const std::string& host);
     /// Starts a further host and returns its name.
     std::string add_host();
     /// Whether a host's process runs.
