--- a/src/plantainward/fleet/fleet_view.hpp
+++ b/src/plantainward/fleet/fleet_view.hpp
@@ -43,8 +43,8 @@
     /// heard, one voter's registration is removed first, and those of the
     /// other silent voters only if it does not come back.
     core::millis return_timeout{3000};
-    /// Time after the return of a voter for which a host that hears no majority
-    /// removes no further one, since it may itself be the one that is cut off.
+    /// Time after the return of a voter for which a host without heartbeats of
+    /// a majority removes no further one, since it may itself be cut off.
     core::millis return_pause{10'000};
     /// Time between the first and the last read of one version of the voter
     /// set after which no write of an earlier process of this host can still
@@ -103,17 +103,17 @@
 
     /// Notes that this host is about to change the set. From now on it confirms
     /// records under the present version only with a recent read, so that the
-    /// voters can't go on without one.
+    /// voters can't confirm one all together without a read.
     void note_voters_write();
 
-    /// Notes which voters are heard; called at least once per heartbeat.
+    /// Updates `contact`; called at least once per heartbeat.
     void update_contact(core::boot_instant now);
 
     /// Whether this host does not vote, and no voter has answered it for so
     /// long that all of them may be lost.
     bool is_without_voters(core::boot_instant now) const;
 
-    /// Since when no voter, no majority, or all of them have been heard.
+    /// Since when no voter, no majority, or all of them have been live.
     const voter_contact& contact() const { return m_contact; }
 
     /// Version of the voter set that was read together with the records.
@@ -251,10 +251,10 @@
     std::set<std::string> heard_members(core::boot_instant now) const;
 
     /// Names of the voters that have sent no heartbeat for so long that their
-    /// registrations may be removed. A host that hears no majority, and a host
-    /// that does not vote and hears no voter, may itself be the one that is cut
-    /// off: it names one voter, and the others only if that one does not
-    /// register again.
+    /// registrations may be removed. A voter without heartbeats of a majority,
+    /// and another host without heartbeats of any voter, may itself be cut off:
+    /// it names one voter, and the others only if that one does not register
+    /// again.
     std::vector<std::string> lost_voters(core::boot_instant now) const;
 
     /// Number of registered members, this host included.
--- a/src/plantainward/fleet/voter_change.cpp
+++ b/src/plantainward/fleet/voter_change.cpp
@@ -30,7 +30,7 @@
 // the changed set has no majority either.
 constexpr core::millis partial_change_time{15'000};
 
-// Time for which all voters are heard before they may go on without reads.
+// Time for which all voters are live before recent reads are no longer needed.
 constexpr core::millis all_heard_time{10'000};
 
 // Each further host in the order waits this much longer before it makes the
@@ -112,8 +112,8 @@
     return std::nullopt;
 }
 
-// Hosts that do not vote don't hear each other, so the new voters are chosen
-// among all registered ones.
+// Hosts that do not vote send each other no heartbeats, so the new voters are
+// chosen among all registered ones.
 std::optional<voter_set>
 voter_change::replace_all(const voter_change_view& view) const
 {
@@ -126,8 +126,8 @@
     return change_to(view, choose_voters(candidates, m_options.voter_count));
 }
 
-// Voters go on together without reads only while all of them live: once a
-// majority is lost, what is left of the fleet must not wait for the longest
+// Voters confirm records without recent reads only while all of them live: once
+// a majority is lost, the hosts that are left must not wait for the longest
 // outage.
 std::optional<voter_set>
 voter_change::update_read_rule(const voter_change_view& view,
--- a/src/plantainward/fleet/voter_change.hpp
+++ b/src/plantainward/fleet/voter_change.hpp
@@ -35,9 +35,9 @@
     /// comes first.
     std::size_t rank{0};
     std::string self{};
-    /// Voters that this host hears at present, itself included.
+    /// Voters that are live, as far as this host knows, itself included.
     std::set<std::string> live{};
-    /// Since when it has heard too few of them, or all.
+    /// Since when too few of them, or all, have been live.
     voter_contact contact{};
     /// Voters that have been unregistered for longer than a live host takes to
     /// register again.
--- a/src/plantainward/fleet/voter_contact.hpp
+++ b/src/plantainward/fleet/voter_contact.hpp
@@ -9,27 +9,27 @@
 namespace plantainward::fleet
 {
 
-/// Which voters a host hears at present, itself included.
-struct heard_voters
+/// Which of the voters are live for a host, itself included.
+struct live_voter_share
 {
     bool any{false};
     bool majority{false};
     bool all{false};
 };
 
-/// Since when a host has heard no voter, no majority of the voters, or all of
-/// them.
+/// Since when no voter, no majority of the voters, or all of them have been
+/// live for a host.
 class voter_contact
 {
 public:
-    void update(const heard_voters& heard, core::boot_instant now)
+    void update(const live_voter_share& live, core::boot_instant now)
     {
-        update(m_without_any, !heard.any, now);
-        update(m_without_majority, !heard.majority, now);
-        update(m_with_all, heard.all, now);
+        update(m_without_any, !live.any, now);
+        update(m_without_majority, !live.majority, now);
+        update(m_with_all, live.all, now);
     }
 
-    /// Forgets what was heard, since the set of voters has changed.
+    /// Starts anew after a change of the set of voters.
     void reset() { *this = {}; }
 
     bool is_without_any(core::millis time, core::boot_instant now) const
--- a/src/plantainward/fleet/voter_set.hpp
+++ b/src/plantainward/fleet/voter_set.hpp
@@ -33,7 +33,7 @@
     /// claim needs a majority of these too. Empty after the second step.
     std::set<std::string> previous;
     /// Every voter must have read the records lately to confirm one. Otherwise
-    /// all voters together may go on for `max_outage` without a read.
+    /// all voters together may confirm one for `max_outage` without a read.
     bool needs_recent_reads{false};
     /// The same for the previous voters. Also set when one of them made the
     /// change, since it no longer confirms under the set before.
--- a/tests/entry/lost_voters_explorer_tests.cpp
+++ b/tests/entry/lost_voters_explorer_tests.cpp
@@ -44,7 +44,7 @@
             m_world.trace_to(std::cerr);
         m_world.run_for(millis(2000));
         m_world.start_load(millis(20));
-        // From some instant on, all voters may go on without reads.
+        // All voters together confirm without reads from 30 s on.
         run({0, 40'000});
     }
 
--- a/tests/entry/lost_voters_tests.cpp
+++ b/tests/entry/lost_voters_tests.cpp
@@ -304,8 +304,8 @@
     world.check_recovery();
 }
 
-// Guards against a host that takes the voters' place because it alone hears
-// none of them.
+// Guards against a host that takes the voters' place because it alone is cut
+// off from all of them.
 TEST(lost_voters, a_host_that_is_cut_off_from_all_others_changes_nothing)
 {
     lossy_world world(15);
--- a/tests/fleet/lost_voters_tests.cpp
+++ b/tests/fleet/lost_voters_tests.cpp
@@ -1,5 +1,5 @@
-// Which registrations a host removes that hears too few voters, and how the
-// voters are replaced then.
+// Which registrations a host removes without heartbeats of a majority, and how
+// the voters are replaced then.
 
 #include <plantainward/fleet/fleet_view.hpp>
 #include <plantainward/fleet/voter_change.hpp>
--- a/tests/fleet/voter_set_tests.cpp
+++ b/tests/fleet/voter_set_tests.cpp
@@ -152,8 +152,8 @@
     CHECK(view.majority_acknowledged(service, 10));
 }
 
-// Failure: a host that hears no majority removes registrations. Voters that
-// live without the table service were then taken to have acknowledged a claim,
+// Failure: a host that is cut off may remove registrations. Voters that live
+// without the table service were then taken to have acknowledged a claim,
 // and went on to prove the record before it to each other.
 TEST(voter_set, a_voter_that_is_not_registered_has_not_acknowledged_a_claim)
 {
