A refused change of the voters is tried once a second

Voters without a majority tried to write the set at each tick while the table service refused it: some 50 calls a second from each of them, all of which are priced, and which a store that returns from an outage does not need.

Cause: the end of a write, whatever its outcome, lets the next tick write again. Until now a change was rarely due during an outage; now a set without a majority always has one.

Change: one second between writes of the set by one host. The test fails before: over 70 attempts of seven voters in 10 s.

--- a/src/plantainward/entry/entry_host.hpp
+++ b/src/plantainward/entry/entry_host.hpp
@@ -459,6 +459,7 @@
     /// The row of the voter set as this host last read it.
     std::uint64_t m_voters_row_version{0};
     bool m_is_writing_voters{false};
+    core::boot_instant m_last_voters_write{};
     bool m_is_voters_row_restored{false};
     /// A row that has lost this host's record of a service.
     struct lost_record
--- a/src/plantainward/entry/entry_host_voters.cpp
+++ b/src/plantainward/entry/entry_host_voters.cpp
@@ -28,6 +28,10 @@
 // Within this time a host that does not vote gets a changed set from a voter.
 constexpr core::millis voters_update_time{1000};
 
+// Between writes of the set by one host, as while the table service refuses
+// them.
+constexpr core::millis voters_write_interval{1000};
+
 std::string description_of(const fleet::voter_set& voters)
 {
     return std::to_string(voters.names.size()) + " voters" +
@@ -165,8 +169,9 @@
          m_fleet.urgently_absent_voters(now),
          is_without_voters},
         now);
-    if (!due)
+    if (!due || now - m_last_voters_write < voters_write_interval)
         return;
+    m_last_voters_write = now;
     m_is_writing_voters = true;
     m_fleet.note_voters_write();
     report(observe::log_event::voters_write, {},
--- a/tests/entry/lost_voters_tests.cpp
+++ b/tests/entry/lost_voters_tests.cpp
@@ -160,6 +160,20 @@
     world.check_no_fault();
 }
 
+// Failure: voters without a majority tried to write the set at each tick while
+// the table service refused it.
+TEST(lost_voters, a_refused_change_is_not_tried_again_at_once)
+{
+    lossy_world world(15);
+    for (std::size_t i = 0; i < 8; ++i)
+        world.lose(world.host_name(i));
+    world.set_store_up(false);
+    const auto before = world.history().voter_writes;
+    world.run_for(millis(10'000));
+    CHECK(world.history().voter_writes - before > 0);
+    CHECK(world.history().voter_writes - before <= std::size_t{7 * 10});
+}
+
 // Failure: changes queued up behind each other, each with its waiting time.
 TEST(lost_voters, a_majority_lost_again_is_replaced_again)
 {
--- a/tests/support/fleet_world.cpp
+++ b/tests/support/fleet_world.cpp
@@ -251,8 +251,8 @@
                                       m_now, m_now);
     if (!informed.is_registered)
         on_host(name, store_delay, [this, name] {
-            m_hosts.at(name).is_registered = true;
-            announce_members();
+            if (!std::exchange(m_hosts.at(name).is_registered, true))
+                announce_members();
         });
 }
 
--- a/tests/support/fleet_world.hpp
+++ b/tests/support/fleet_world.hpp
@@ -70,6 +70,8 @@
     std::size_t promotions{0};
     /// Number of writes of the voter set.
     std::size_t voter_changes{0};
+    /// Number of attempts to write it.
+    std::size_t voter_writes{0};
     /// Number of removals of registrations that hosts requested.
     std::size_t removed_members{0};
     /// Number of statements that one host forwarded to another.
--- a/tests/support/fleet_world_platform.cpp
+++ b/tests/support/fleet_world_platform.cpp
@@ -253,6 +253,7 @@
 void fleet_world::write_voters(const std::string& name,
                                const entry::write_voters_action& action)
 {
+    ++m_history.voter_writes;
     const auto answer = [this, name] {
         run(name, m_hosts.at(name).host->on_voters_written(m_now));
     };
