--- a/src/plantainward/observe/log_event.cpp
+++ b/src/plantainward/observe/log_event.cpp
@@ -80,7 +80,9 @@
     {member_removed, "member_removed", rare_per_s,
      "a silent host's registration is removed"},
     {voters_in_force, "voters_in_force", rare_per_s,
-     "a newer set of voters is known; with its size and version"},
+     "a newer set of voters is known; with its size and version, the number "
+     "of voters that it replaces, and whether all need recent reads (no "
+     "majority was heard, or not all voters were)"},
     {voters_write, "voters_write", rare_per_s,
      "this host creates, changes or repairs the set of voters"},
     {isolated, "isolated", rare_per_s,
