A changed set of voters has a majority that is heard

Cause: the first changed set kept voters that had been unregistered for less than 5 s, or were lost and not yet removed, and took in a host that had been lost within 10 s.

Change: once a voter has not come back for 5 s, all unregistered voters are replaced (urgently_absent_voters); without a majority, a host counts as heard for 5 s (heard_members); and the change waits until all of the changed set is heard, or 15 s without a majority (replace_lost_majority). Whom a change replaces matters for service only, not for safety (docs/PROOFS.md, "Voters that are lost", 7).

Tests, red before: lost_voters.all_removed_voters_are_absent_once_one_has_not_come_back, lost_voters.a_host_counts_as_heard_for_less_time_without_a_majority, lost_majority.lost_voters_are_replaced_once_all_others_are_heard. The last one replaces lost_voters_are_replaced_once_the_result_has_a_majority, whose condition was weaker: a majority of the changed set instead of all of it.

--- a/src/plantainward/fleet/fleet_view.cpp
+++ b/src/plantainward/fleet/fleet_view.cpp
@@ -191,7 +191,9 @@
 std::set<std::string>
 fleet_view::urgently_absent_voters(core::boot_instant now) const
 {
-    return absent_voters(m_options.urgent_absence_timeout, now);
+    if (absent_voters(m_options.urgent_absence_timeout, now).empty())
+        return {};
+    return absent_voters(core::millis(0), now);
 }
 
 // A host that needs no proofs sends no heartbeats, so no voter answers it.
@@ -557,10 +559,11 @@
 
 std::set<std::string> fleet_view::heard_members(core::boot_instant now) const
 {
+    const auto time = hears_majority(now) ? m_options.hearing_time
+                                          : m_options.urgent_hearing_time;
     std::set<std::string> names{m_self};
     for (const auto& [name, peer] : m_peers)
-        if (peer.last.sequence != 0 &&
-            now - peer.received_at <= m_options.hearing_time)
+        if (peer.last.sequence != 0 && now - peer.received_at <= time)
             names.insert(name);
     return names;
 }
--- a/src/plantainward/fleet/fleet_view.hpp
+++ b/src/plantainward/fleet/fleet_view.hpp
@@ -33,6 +33,9 @@
     /// Time within which a member that needs proofs has sent a heartbeat to
     /// each voter, also when datagrams are lost.
     core::millis hearing_time{10'000};
+    /// The same while no majority of the voters is heard, when hosts are being
+    /// lost: a lost host must not be chosen as a voter.
+    core::millis urgent_hearing_time{5000};
     /// Time for which a voter is unregistered before it counts as gone; longer
     /// than a restart takes.
     core::millis absence_timeout{20'000};
@@ -194,8 +197,8 @@
     /// Voters that have been unregistered for longer than a restart takes.
     std::set<std::string> absent_voters(core::boot_instant now) const;
 
-    /// Voters that have been unregistered for longer than a live host takes to
-    /// register again.
+    /// All unregistered voters, once one of them has been unregistered for
+    /// longer than a live host takes to register again; empty until then.
     std::set<std::string> urgently_absent_voters(core::boot_instant now) const;
 
     /// Newest version of the voter set that a peer's heartbeat has shown.
@@ -247,7 +250,7 @@
     std::vector<std::string> live_voters(core::boot_instant now) const;
 
     /// Names of this host and of the members that have sent it a heartbeat
-    /// since a member that does not vote last tried each voter in turn.
+    /// within the hearing time.
     std::set<std::string> heard_members(core::boot_instant now) const;
 
     /// Names of the voters that have sent no heartbeat for so long that their
--- a/src/plantainward/fleet/voter_change.cpp
+++ b/src/plantainward/fleet/voter_change.cpp
@@ -27,7 +27,7 @@
 constexpr core::millis lost_majority_time{2000};
 
 // Time without a majority after which the absent voters are replaced although
-// the changed set has no majority either.
+// others are not heard either.
 constexpr core::millis partial_change_time{15'000};
 
 // Time for which all voters are live before recent reads are no longer needed.
@@ -97,8 +97,9 @@
     return change_to(view, std::move(names));
 }
 
-// Waits until the changed set has a majority that is heard, since the next
-// change has to wait for this one.
+// Waits until all voters of the changed set are heard: while hosts are being
+// lost one after the other, it may be without a majority again before it is in
+// force, and the next change has to wait for this one.
 std::optional<voter_set>
 voter_change::replace_lost_majority(const voter_change_view& view,
                                     core::boot_instant now) const
@@ -106,8 +107,8 @@
     auto changed = replace(view, view.urgently_absent);
     if (!changed ||
         view.contact.is_without_majority(partial_change_time, now) ||
-        has_majority(changed->names,
-                     [&](const std::string& name) { return view.lives(name); }))
+        std::all_of(changed->names.begin(), changed->names.end(),
+                    [&](const std::string& name) { return view.lives(name); }))
         return changed;
     return std::nullopt;
 }
--- a/tests/fleet/lost_voters_tests.cpp
+++ b/tests/fleet/lost_voters_tests.cpp
@@ -151,6 +151,40 @@
     CHECK_FALSE(me.view.is_without_voters(me.now));
 }
 
+// Failure: voters that were removed later stayed in the changed set, which had
+// no majority for that reason.
+TEST(lost_voters, all_removed_voters_are_absent_once_one_has_not_come_back)
+{
+    observer me(true);
+    me.list({"a", "c", "d", "e"});
+    me.pass(millis(3000));
+    me.list({"a", "d", "e"});
+    me.pass(millis(1900));
+    CHECK(me.view.urgently_absent_voters(me.now).empty());
+    me.pass(millis(200));
+    CHECK((me.view.urgently_absent_voters(me.now) ==
+           std::set<std::string>{"b", "c"}));
+}
+
+// Failure: hosts that were lost some seconds before were chosen as voters.
+TEST(lost_voters, a_host_counts_as_heard_for_less_time_without_a_majority)
+{
+    observer me(true);
+    me.hear("e");
+    for (int i = 0; i < 7; ++i)
+    {
+        me.pass(millis(900));
+        for (const char* host : {"a", "b", "c"})
+            me.hear(host);
+    }
+    CHECK(me.view.heard_members(me.now).contains("e"));
+    me.pass(millis(1100));
+    CHECK_FALSE(me.view.heard_members(me.now).contains("e"));
+    CHECK(me.view.heard_members(me.now).contains("a"));
+    me.pass(millis(4000));
+    CHECK_FALSE(me.view.heard_members(me.now).contains("a"));
+}
+
 TEST_GROUP(lost_majority)
 {
     boot_instant now{std::chrono::seconds(1000)};
@@ -249,37 +283,26 @@
     CHECK_FALSE(tick_with_all(millis(200))->needs_recent_reads);
 }
 
-// Failure: the changed set had no majority either, and the next change had to
-// wait for the end of this one.
-TEST(lost_majority, lost_voters_are_replaced_once_the_result_has_a_majority)
+// Failure: the changed set had no majority either, or lost it while it was
+// being completed, and the next change had to wait for the end of this one.
+TEST(lost_majority, lost_voters_are_replaced_once_all_others_are_heard)
 {
     require_recent_reads();
     lose({"c"});
     for (const char* name : {"x", "y"})
         registered[name] = {{name, 1}, "z", 100};
     CHECK_FALSE(tick_after(millis(2000)).has_value());
+    heard = {"a", "b", "x", "y"};
+    CHECK_FALSE(tick_after(millis(0)).has_value());
     // Voters that were lost lately have been heard lately.
-    heard = {"a", "b", "d", "e"};
+    heard = {"a", "b", "d", "e", "x", "y"};
     CHECK_FALSE(tick_after(millis(0)).has_value());
-    heard = {"a", "b", "x", "y"};
-    const voter_contact without_majority = contact;
-    const auto changed = change.tick({voters,
-                                      voters.version,
-                                      registered,
-                                      heard,
-                                      {},
-                                      false,
-                                      0,
-                                      "a",
-                                      live,
-                                      without_majority,
-                                      absent},
-                                     now);
-    CHECK((changed->names ==
-           std::set<std::string>{"a", "b", "d", "e", "x", "y"}));
+    lose({"d", "e"});
+    const auto changed = tick_after(millis(0));
+    CHECK((changed->names == std::set<std::string>{"a", "b", "x", "y"}));
     CHECK(changed->previous == voters.names);
     CHECK(changed->previous_need_recent_reads);
-    CHECK(changed->needs_recent_reads);
+    CHECK_FALSE(changed->needs_recent_reads);
 }
 
 TEST(lost_majority, lost_voters_are_replaced_in_part_after_some_time)
