A primary that has lost its log is not read

What callers saw: a primary started again under its id with an empty log, while the store was down.

Cause: a lease names the primary by id. Nothing compared the process at the other end of a connection with it: the position that a database reports when a connection opens was dropped, a read needs no leadership at the database, and its answers gave the log points that replicas must have.

Hosts that have just started have the same gap with the store up.

Change: a read runs at the primary only on a connection that shows a log: the database has reported a position with a commit on it, or has begun a transaction that may write. On any other connection the host begins and ends such a transaction first, which occupies no slot and which a database that has lost everything refuses. Probes do the same, and only such connections give watermarks. Databases with a log get no further command.

The other tests open their connections with a log now.

--- a/src/plantainward/pooling/commands.cpp
+++ b/src/plantainward/pooling/commands.cpp
@@ -77,6 +77,9 @@
     case command_kind::prepare:
         connection.prepared.insert(confirmed.name);
         return;
+    case command_kind::begin:
+        connection.has_led = true;
+        return;
     default:
         return;
     }
@@ -101,6 +104,12 @@
     return commands;
 }
 
+std::vector<command> lead_commands()
+{
+    return {proxy_command(command_kind::begin),
+            proxy_command(command_kind::rollback)};
+}
+
 void confirm_command(connection& connection, const sql::command_answer& answer)
 {
     if (connection.unconfirmed.empty())
@@ -109,6 +118,9 @@
     connection.unconfirmed.erase(connection.unconfirmed.begin());
     if (!answer.error)
         return apply(connection, confirmed);
+    // Changes no values; each answer reports the state of the transaction.
+    if (confirmed.kind == command_kind::rollback)
+        return;
     connection.is_state_known =
         connection.is_state_known && sql::is_not_run(*answer.error);
 }
--- a/src/plantainward/pooling/commands.hpp
+++ b/src/plantainward/pooling/commands.hpp
@@ -24,6 +24,10 @@
 /// state of the connection changes only by commands that have succeeded.
 void confirm_command(connection& connection, const sql::command_answer& answer);
 
+/// The commands that make a database show that it leads: a transaction that may
+/// write, ended at once. They occupy no slot of the database.
+std::vector<sql::command> lead_commands();
+
 /// The command that runs a session's current statement.
 sql::command statement_command(const session& session);
 
--- a/src/plantainward/pooling/connection.hpp
+++ b/src/plantainward/pooling/connection.hpp
@@ -4,8 +4,10 @@
 #include <plantainward/core/enum_names.hpp>
 #include <plantainward/pooling/action.hpp>
 #include <plantainward/pooling/session_state.hpp>
+#include <plantainward/upstream/log_point.hpp>
 
 #include <cstddef>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -55,6 +57,10 @@
     /// The proxy's own commands that were sent and not yet answered, in the
     /// order in which they were sent.
     std::vector<sql::command> unconfirmed;
+    /// End of the log that the database has last reported on this connection.
+    std::optional<upstream::log_point> position;
+    /// The database has begun a transaction that may write, so it leads.
+    bool has_led{false};
     /// Every answer told whether its command took effect. Without it the values
     /// are not known, and the connection must be closed.
     bool is_state_known{true};
@@ -68,6 +74,14 @@
     /// of this connection and answered before them.
     std::size_t overtaken{0};
     core::boot_instant last_used{};
+
+    /// Whether the process at the other end has a log, or leads. One that has
+    /// started again with nothing, under the id of the primary, does neither;
+    /// the connection can't lead to another process later.
+    bool shows_log() const
+    {
+        return has_led || (position && position->position > 0);
+    }
 };
 
 } // namespace plantainward::pooling
--- a/src/plantainward/pooling/pooler.hpp
+++ b/src/plantainward/pooling/pooler.hpp
@@ -279,8 +279,11 @@
     /// Number of statements that wait or run.
     std::size_t work_count() const { return m_work_count; }
 
-    /// A connection that was requested by `open_action` is open.
-    actions on_opened(connection_id id, core::boot_instant now);
+    /// A connection that was requested by `open_action` is open; `position` is
+    /// the end of the log that the database reports, if it does.
+    actions on_opened(connection_id id,
+                      std::optional<upstream::log_point> position,
+                      core::boot_instant now);
     /// A connection could not be opened; `refusal` is empty when the database
     /// gave no reason.
     actions on_open_failed(connection_id id,
@@ -465,6 +468,7 @@
     void leave_connection(connection& connection, session& session);
     void assign_connection(connection& connection, session& session);
     void prepare_connection(connection& connection, session& session);
+    bool must_show_log(const connection& connection, const session& session);
     void send_statement(connection& connection, session& session);
     void release(connection& connection, bool in_transaction);
     void drop(connection_id id);
--- a/src/plantainward/pooling/pooler_connections.cpp
+++ b/src/plantainward/pooling/pooler_connections.cpp
@@ -3,6 +3,8 @@
 #include <plantainward/pooling/session_rules.hpp>
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 namespace plantainward::pooling
 {
@@ -24,6 +26,13 @@
            refusal != sql::refusal::malformed;
 }
 
+std::vector<sql::command> joined(std::vector<sql::command> first,
+                                 std::vector<sql::command> second)
+{
+    std::move(second.begin(), second.end(), std::back_inserter(first));
+    return first;
+}
+
 } // namespace
 
 connection* pooler::find(connection_id id)
@@ -69,11 +78,26 @@
     prepare_connection(connection, session);
 }
 
+// Whether a read is about to run on a log that may have been lost: the present
+// primary's, on a connection that has not shown it. An empty database refuses
+// writes and the transactions that may write by itself.
+bool pooler::must_show_log(const connection& connection, const session& session)
+{
+    const auto& work = *session.current;
+    if (connection.shows_log() || work.is_unrepeatable ||
+        !service_of(connection.id)->is_primary(connection.upstream, m_now))
+        return false;
+    return !session.transaction ||
+           (work.begins && session.transaction->read_only);
+}
+
 void pooler::prepare_connection(connection& connection, session& session)
 {
     if (!is_of_workspace(connection, session))
         return leave_connection(connection, session);
     auto commands = setup_commands(connection, session);
+    if (must_show_log(connection, session))
+        commands = joined(lead_commands(), std::move(commands));
     if (commands.empty())
         return send_statement(connection, session);
     connection.stage = connection_stage::preparing;
@@ -243,12 +267,15 @@
     serve_queue();
 }
 
-actions pooler::on_opened(connection_id id, core::boot_instant now)
+actions pooler::on_opened(connection_id id,
+                          std::optional<upstream::log_point> position,
+                          core::boot_instant now)
 {
     m_now = now;
     auto* connection = find(id);
     if (connection == nullptr)
         return collect_actions();
+    connection->position = position;
     pool_of(id)->record_opened(now);
     const auto user_session = m_sessions.find(connection->user);
     if (user_session != m_sessions.end() && user_session->second.current &&
@@ -302,8 +329,10 @@
 {
     auto& pool = *pool_of(connection.id);
     pool.record_contact(m_now);
-    if (answer.position)
-        pool.update_known_point(*answer.position);
+    if (!answer.position)
+        return;
+    connection.position = answer.position;
+    pool.update_known_point(*answer.position);
 }
 
 // An idle primary's answer to a probe shows the end of its log, so that reads
@@ -342,6 +371,8 @@
     case connection_stage::probing:
         confirm_command(*connection, answer);
         add_watermark(*connection, answer);
+        if (connection->unanswered > 0)
+            break;
         [[fallthrough]];
     case connection_stage::rolling_back:
         if (answer.state != sql::transaction_state::idle)
@@ -455,7 +486,7 @@
                               static_cast<double>(duration.count()), m_now);
     if (work.after)
         pool_of(connection.id)->clear_missing_point(*work.after);
-    if (work.at_primary && answer.position)
+    if (work.at_primary && answer.position && connection.shows_log())
         service.watermarks.add({connection.sent_at, *answer.position});
     const bool committed =
         work.is_unrepeatable &&
--- a/src/plantainward/pooling/pooler_maintenance.cpp
+++ b/src/plantainward/pooling/pooler_maintenance.cpp
@@ -127,9 +127,14 @@
                     open(name, pool, {}, true);
                 continue;
             }
+            const bool must_lead =
+                service.is_primary(id, m_now) && !connection->shows_log();
             connection->stage = connection_stage::probing;
-            connection->unanswered = 1;
-            connection->unconfirmed = {proxy_command(sql::command_kind::reset)};
+            connection->unconfirmed =
+                must_lead
+                    ? lead_commands()
+                    : std::vector{proxy_command(sql::command_kind::reset)};
+            connection->unanswered = connection->unconfirmed.size();
             connection->sent_at = m_now;
             m_actions.emplace_back(
                 send_action{connection->id, connection->unconfirmed});
--- a/tests/pooling/forwarding_tests.cpp
+++ b/tests/pooling/forwarding_tests.cpp
@@ -164,7 +164,8 @@
     connection_id complete_open(const std::string& name)
     {
         const auto id = hosts[name].opened.back().connection;
-        apply(name, hosts[name].pool.on_opened(id, now));
+        apply(name,
+              hosts[name].pool.on_opened(id, upstream::log_point{1, 10}, now));
         return id;
     }
 
@@ -598,7 +599,8 @@
         const auto* open = std::get_if<open_action>(&opened.at(0));
         CHECK(open != nullptr);
         STRCMP_EQUAL("r", open->upstream.id.c_str());
-        const auto new_actions = pool.on_opened(open->connection, now);
+        const auto new_actions =
+            pool.on_opened(open->connection, upstream::log_point{1, 10}, now);
         const auto* sent = std::get_if<send_action>(&new_actions.at(0));
         CHECK(sent != nullptr);
         return sent->commands.back().after;
--- a/tests/pooling/own_commit_tests.cpp
+++ b/tests/pooling/own_commit_tests.cpp
@@ -78,7 +78,8 @@
     void open_requested()
     {
         for (; m_completed < opened.size(); ++m_completed)
-            apply(pool.on_opened(opened[m_completed].connection, now));
+            apply(pool.on_opened(opened[m_completed].connection,
+                                 upstream::log_point{1, 10}, now));
     }
 
     void update_services()
--- a/tests/pooling/pinned_paths_tests.cpp
+++ b/tests/pooling/pinned_paths_tests.cpp
@@ -213,7 +213,8 @@
     c.apply(c.pool.tick(c.now));
     for (const auto& open : c.opened)
         if (open.upstream.id == "p" && open.connection != id)
-            c.apply(c.pool.on_opened(open.connection, c.now));
+            c.apply(c.pool.on_opened(open.connection,
+                                     upstream::log_point{1, 10}, c.now));
     LONGS_EQUAL(2, c.sent.back().commands.size());
 }
 
--- a/tests/pooling/pinned_world.cpp
+++ b/tests/pooling/pinned_world.cpp
@@ -515,8 +515,9 @@
             });
         opening_host.numbers[id] = ++m_last_number;
         m_connections[m_last_number].upstream = upstream;
-        call(name, incarnation,
-             [&](pooler& pool) { return pool.on_opened(id, m_now); });
+        call(name, incarnation, [&](pooler& pool) {
+            return pool.on_opened(id, upstream::log_point{1, 10}, m_now);
+        });
     });
 }
 
--- a/tests/pooling/pooler_load_tests.cpp
+++ b/tests/pooling/pooler_load_tests.cpp
@@ -39,7 +39,8 @@
     }
     const auto opened = c.opened;
     for (const auto& open : opened)
-        c.apply(c.pool.on_opened(open.connection, c.now));
+        c.apply(c.pool.on_opened(open.connection, upstream::log_point{1, 10},
+                                 c.now));
     for (const auto& open : opened)
         c.fail(open.connection, refusal::busy);
     const auto before = c.sent.size();
--- a/tests/pooling/workspace_forwarding_tests.cpp
+++ b/tests/pooling/workspace_forwarding_tests.cpp
@@ -209,7 +209,8 @@
 {
     // Failure: a small host sorted the holders for each statement.
     c.submit("h1");
-    c.apply("h1", c.hosts["h1"]->on_opened(c.last_open.second, c.now));
+    c.apply("h1", c.hosts["h1"]->on_opened(c.last_open.second,
+                                           upstream::log_point{1, 10}, c.now));
     c.submit("h1");
     c.submit("h1");
     LONGS_EQUAL(1, c.computed);
--- a/tests/support/fleet_world.hpp
+++ b/tests/support/fleet_world.hpp
@@ -153,6 +153,9 @@
     }
     void crash_database(const std::string& id);
     void recover_database(const std::string& id);
+    /// Starts a crashed database again under its id, as a replica that has lost
+    /// its log.
+    void restart_empty(const std::string& id);
     void set_store_up(bool up);
     /// The table service returns from a copy of this age: it has lost the
     /// records and voter sets that were written since, and gives out the
--- a/tests/support/fleet_world_databases.cpp
+++ b/tests/support/fleet_world_databases.cpp
@@ -34,7 +34,7 @@
         if (!m_databases.at(database).up)
             return run(name, pooler.on_open_failed(id, std::nullopt, m_now));
         m_connections[{name, id}] = {database, false, {}};
-        run(name, pooler.on_opened(id, m_now));
+        run(name, pooler.on_opened(id, m_databases.at(database).end(), m_now));
     });
 }
 
@@ -225,6 +225,17 @@
     }
 }
 
+void fleet_world::restart_empty(const std::string& id)
+{
+    auto& database = m_databases.at(id);
+    database.up = true;
+    database.is_primary = false;
+    database.term = 1;
+    database.log.clear();
+    ++database.registration.started_at_ms;
+    announce_upstreams();
+}
+
 void fleet_world::become_primary(const std::string& id)
 {
     auto& promoted = m_databases.at(id);
--- a/tests/support/load_world.cpp
+++ b/tests/support/load_world.cpp
@@ -95,7 +95,8 @@
     }
     database.connections.insert({host, id});
     after(database.options.open_time + link_delay, [this, host, id] {
-        apply(host, poolers.at(host).on_opened(id, now));
+        apply(host,
+              poolers.at(host).on_opened(id, upstream::log_point{1, 10}, now));
     });
 }
 
--- a/tests/support/pooler_case.hpp
+++ b/tests/support/pooler_case.hpp
@@ -101,7 +101,7 @@
     connection_id complete_open()
     {
         const auto id = opened.back().connection;
-        apply(pool.on_opened(id, now));
+        apply(pool.on_opened(id, upstream::log_point{1, 10}, now));
         return id;
     }
 
--- a/tests/support/workspace_case.hpp
+++ b/tests/support/workspace_case.hpp
@@ -83,7 +83,7 @@
     {
         if (id == 0)
             id = opened.back().connection;
-        record(pool.on_opened(id, now));
+        record(pool.on_opened(id, upstream::log_point{1, 10}, now));
         return id;
     }
 
--- a/tests/support/workspace_load.hpp
+++ b/tests/support/workspace_load.hpp
@@ -407,8 +407,10 @@
         occupy(open.upstream.id, latency(domain_of(holder), target.domain),
                micros(12000), [this, key] {
                    if (m_connections.contains(key))
-                       carry_out(key.first, m_holders.at(key.first).on_opened(
-                                                key.second, m_now));
+                       carry_out(
+                           key.first,
+                           m_holders.at(key.first).on_opened(
+                               key.second, upstream::log_point{1, 10}, m_now));
                });
     }
 
