--- a/src/plantainward/fleet/voter_change.hpp
+++ b/src/plantainward/fleet/voter_change.hpp
@@ -39,8 +39,8 @@
     std::set<std::string> live{};
     /// Since when too few of them, or all, have been live.
     voter_contact contact{};
-    /// Voters that have been unregistered for longer than a live host takes to
-    /// register again.
+    /// All unregistered voters, once one of them has been unregistered for
+    /// longer than a live host takes to register again.
     std::set<std::string> urgently_absent{};
     /// This host does not vote, and all voters seem to be lost.
     bool is_without_voters{false};
