--- a/review/harness-3/fleet.cpp
+++ b/review/harness-3/fleet.cpp
@@ -1,6 +1,7 @@
 #include "fleet.hpp"
 
 #include <fcntl.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -84,6 +85,8 @@
     const auto pid = ::fork();
     if (pid == 0)
     {
+        // The process ends with this one, however that ends.
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
         const int fd = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         ::dup2(fd, STDOUT_FILENO);
         ::dup2(fd, STDERR_FILENO);
